--- /dev/null
+++ b/src/decision/balancer.cpp
@@ -0,0 +1,819 @@
+// The decision module: every choice brookrelay makes, and every constant behind one, is in this file.
+//
+// Invoked: make_balancer() once for each node; then one method of Balancer for each thing that happens
+// (a list, an arrival, a forward's end, a timer). The module acts by calling Host inside that method.
+// Interface and types: balancer.h. Why it is so: docs/design.md. At night: docs/oncall.md.
+//
+// The ordinary path: the key's point on the own zone's ring, the owner of the next point clockwise, unless
+// that cache's load passes the bound; a read that misses and every write go on to the origin.
+#include "balancer.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <random>
+
+namespace brookrelay {
+namespace {
+
+constexpr int kPoints = 100;                                // points a cache; the design's figure
+constexpr std::uint64_t kRingSeed = 0x62726f6f6b72656cULL;  // the same at every node
+constexpr double kOverMean = 2.0;                           // the design's pass-over: above twice the mean
+constexpr int kFloor = 2;                                   // and above this many of this node's own forwards
+
+constexpr int kSilentRun = 3;       // failures in a row that make a suspect; fewer and chance errors do
+constexpr double kSilence = 0.3;    // s without any answer, with forwards out, that make a suspect
+constexpr double kSlowTimes = 3.0;  // times its peers' pace; below this, machine kinds alone reach it
+constexpr int kSlowCount = 5;       // answers needed before slowness is believed
+constexpr double kTrialGap = 0.5;   // s to the first trial of a suspect; doubles up to kTrialGapMost
+constexpr double kTrialGapMost = 2.0;
+constexpr double kFullPause = 0.1;  // s a cache that answered `busy` is passed over
+
+constexpr double kFirstPart = 0.6;   // part of the time left that a forward may use when another can follow
+constexpr double kLeastPart = 0.25;  // and at least this part, or congestion alone would end it
+constexpr double kRetryPart = 0.2;   // further forwards earned by each invocation
+constexpr double kRetryMost = 20;    // and saved at the most: one short outage, not a storm
+
+constexpr double kColdSafety = 0.8;  // part of the guaranteed warm-up that is used
+constexpr double kColdBudget = 0.6;  // part of this node's even share of rule 4's budget that is used
+
+constexpr double kOriginStart = 4;  // forwards at the origin at first
+constexpr double kOriginLeast = 1;
+constexpr double kOriginMost = 64;
+constexpr double kOriginSlow = 2.0;  // times its best pace: it queues, so the limit falls
+constexpr std::size_t kQueueMost = 32;
+
+constexpr double kPressureStep = 0.1;   // change of pressure at each look
+constexpr double kPressureLook = 0.25;  // s between looks
+constexpr double kStrainPart = 0.35;    // a forward slower than this part of its objective is a strain
+constexpr double kStrained = 0.15;      // part of strained endings from which pressure rises
+
+std::uint64_t mix(std::uint64_t x) {
+    x += 0x9e3779b97f4a7c15ULL;
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+std::uint64_t hash_name(std::string_view name) {
+    std::uint64_t h = kRingSeed;
+    for (unsigned char c : name) {
+        h = (h ^ c) * 0x100000001b3ULL;
+    }
+    return mix(h);
+}
+
+double unit(std::uint64_t x) { return static_cast<double>(x >> 11) * 0x1.0p-53; }
+
+// Sums over the last few seconds, in eight buckets of time used again in a ring.
+class Meter {
+  public:
+    Meter() = default;
+    explicit Meter(double span) : width_(span / kBuckets) {}
+    void add(double now, double value) {
+        turn(now);
+        sum_[at_] += value;
+        ++count_[at_];
+    }
+    double sum(double now) {
+        turn(now);
+        double total = 0;
+        for (double s : sum_) total += s;
+        return total;
+    }
+    int count(double now) {
+        turn(now);
+        int total = 0;
+        for (int c : count_) total += c;
+        return total;
+    }
+    void clear() {
+        sum_.fill(0);
+        count_.fill(0);
+    }
+
+  private:
+    static constexpr int kBuckets = 8;
+    void turn(double now) {
+        const auto bucket = static_cast<std::int64_t>(now / width_);
+        const std::int64_t steps = std::min<std::int64_t>(bucket - turn_, kBuckets);
+        for (std::int64_t s = 0; s < steps; ++s) {
+            at_ = (at_ + 1) % kBuckets;
+            sum_[at_] = 0;
+            count_[at_] = 0;
+        }
+        turn_ = std::max(turn_, bucket);
+    }
+    double width_ = 0.5;
+    std::array<double, kBuckets> sum_{};
+    std::array<int, kBuckets> count_{};
+    std::size_t at_ = 0;
+    std::int64_t turn_ = 0;
+};
+
+struct Cache {
+    std::uint64_t hash = 0;
+    int zone = 0;
+    int cell = 0;
+    bool origin = false;
+    Standing standing = Standing::gone;
+    double cold_since = -1e9;  // when it last started, as told or as guessed after a silence
+    int out = 0;               // forwards from this node without an ending
+    double unanswered = 0;     // when the first forward since its last answer went out; 0: none
+    int failures = 0;          // in a row
+    bool suspect = false;
+    bool silent = false;  // suspected for silence, not for slowness
+    double next_trial = 0;
+    double trial_gap = kTrialGap;
+    double full_until = 0;
+    Meter pace;  // seconds its answers took
+    Meter cold_sent{2.0};
+    unsigned seen = 0;
+};
+
+enum class Fate { out, never_ran, may_have_run };
+
+struct Forward {
+    int cache = 0;
+    double sent = 0;
+    Fate fate = Fate::out;
+};
+
+enum class Wait { none, fetch, queue };
+
+struct Invocation {
+    bool open = false;
+    Arrival what;
+    double arrived = 0;
+    double due = 0;     // when its client stops waiting
+    double useful = 0;  // when an answer stops earning
+    std::vector<Forward> forwards;
+    int out = 0;
+    int missed_at = -1;
+    Wait wait = Wait::none;
+    bool streaming = false;
+    bool leads = false;
+    std::uint32_t turn = 0;  // tells a timer's invocation from a later one in the same place
+};
+
+struct Point {
+    std::uint64_t at;
+    int cache;
+};
+
+enum class Timer : std::uint64_t { expiry = 1, list };
+
+class Decisions final : public Balancer {
+  public:
+    Decisions(const Deployment& deployment, std::uint64_t seed, Host& host)
+        : deployment_(deployment),
+          host_(host),
+          chance_(static_cast<std::uint32_t>(mix(seed))),
+          rings_(static_cast<std::size_t>(std::max(1, deployment.zones))),
+          tenants_(deployment.tenants.size()) {
+        for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
+        paces_.resize(deployment.operations.size());
+    }
+
+    void listed(double now, ListKind kind, const std::vector<Listing>& entries) override {
+        ++list_turn_;
+        if (kind != ListKind::change) {
+            for (Cache& c : caches_) c.seen = 0;
+        }
+        for (const Listing& e : entries) {
+            if (e.cache >= static_cast<int>(caches_.size()))
+                caches_.resize(static_cast<std::size_t>(e.cache) + 1);
+            Cache& c = caches_[static_cast<std::size_t>(e.cache)];
+            const double start = e.started > 0 ? e.started : -1e9;
+            if (start > c.cold_since + 0.001 || c.hash == 0) {
+                // A process that started anew has none of the faults, and none of the memory, of the old one.
+                const int out = c.out;
+                c = Cache{};
+                c.out = out;
+                c.cold_since = start;
+            }
+            c.hash = hash_name(e.name);
+            c.zone = std::clamp(e.zone, 0, static_cast<int>(rings_.size()) - 1);
+            c.cell = e.cell;
+            c.origin = deployment_.origin_kind >= 0 && e.kind == deployment_.origin_kind;
+            c.standing = e.standing;
+            c.seen = list_turn_;
+        }
+        if (kind != ListKind::change) {
+            for (Cache& c : caches_) {
+                if (c.seen != list_turn_) c.standing = Standing::gone;
+            }
+        }
+        build_rings();
+        if (kind == ListKind::disk) {
+            // What is on disk may be old in every line, so the list is asked for before anything else.
+            if (deployment_.ask_for_list) ask_for_list();
+        } else {
+            list_failures_ = 0;
+        }
+        (void)now;
+    }
+
+    void list_failed(double) override {
+        // Doubling with full jitter: all nodes lose the list at once, and its service has a fixed capacity.
+        const double most = std::min(0.2 * std::pow(2.0, list_failures_), deployment_.ask_every / 2 + 0.2);
+        list_failures_ = std::min(list_failures_ + 1, 10);
+        host_.wake(most * (0.3 + 0.7 * draw()), token(Timer::list, 0, 0));
+    }
+
+    void arrived(double now, const Arrival& a) override {
+        if (a.inv >= static_cast<int>(invs_.size())) invs_.resize(static_cast<std::size_t>(a.inv) + 1);
+        Invocation& v = invs_[static_cast<std::size_t>(a.inv)];
+        v.open = true;
+        v.what = a;
+        if (!a.has_key) v.what.key = (static_cast<std::uint64_t>(chance_()) << 24) ^ chance_();
+        const Operation& op = operation(v);
+        v.arrived = now;
+        v.due = now + a.time_left;
+        v.useful = op.tardy_part > 0 ? v.due : std::min(v.due, now + op.latency_objective);
+        v.forwards.clear();
+        v.out = 0;
+        v.missed_at = -1;
+        v.wait = Wait::none;
+        v.streaming = v.leads = false;
+        ++v.turn;
+        retries_ = std::min(retries_ + kRetryPart, kRetryMost);
+        look(now);
+        if (over_share(v, now) && draw() < pressure_) {
+            close(v, now);
+            return;
+        }
+        if (a.write && origin(now) >= 0) {
+            to_origin(v, now);
+        } else {
+            to_cache(v, now);
+        }
+    }
+
+    void ended(double now, int inv, int forward, Ending ending, double took, bool over) override {
+        Invocation& v = invs_[static_cast<std::size_t>(inv)];
+        if (forward < 0 || forward >= static_cast<int>(v.forwards.size())) return;
+        Forward& f = v.forwards[static_cast<std::size_t>(forward)];
+        if (f.fate != Fate::out) return;
+        const bool never_ran = ending == Ending::busy || ending == Ending::refused ||
+                               ending == Ending::not_sent || ending == Ending::miss;
+        f.fate = never_ran ? Fate::never_ran : Fate::may_have_run;
+        --v.out;
+        const int at = f.cache;
+        Cache& c = caches_[static_cast<std::size_t>(at)];
+        --c.out;
+        judge(c, v, f, ending, took, now);
+        if (over) {
+            v.open = false;
+            leave_wait(v);
+        }
+        if (c.origin) {
+            origin_ended(v, ending, took, now);
+        }
+        if (!v.open || v.streaming) return;
+        if (ending == Ending::miss && !c.origin) {
+            v.missed_at = at;
+            to_origin(v, now);
+        } else if (v.out == 0 && v.wait == Wait::none) {
+            again(v, now, c.origin);
+        }
+    }
+
+    void stream_started(double, int inv, int) override {
+        invs_[static_cast<std::size_t>(inv)].streaming = true;
+    }
+
+    void client_left(double now, int inv) override {
+        Invocation& v = invs_[static_cast<std::size_t>(inv)];
+        if (!v.open) return;
+        v.open = false;
+        leave_wait(v);
+        drop_copies(v);
+        (void)now;
+    }
+
+    void probed(double, int, Ending, double) override {}
+
+    void woken(double now, std::uint64_t token) override {
+        const auto kind = static_cast<Timer>(token >> 56);
+        if (kind == Timer::list) {
+            ask_for_list();
+        } else if (kind == Timer::expiry) {
+            Invocation& v = invs_[token & 0xffffffffU];
+            if (!v.open || v.wait == Wait::none || (v.turn & 0xffffffU) != ((token >> 32) & 0xffffffU))
+                return;
+            leave_wait(v);
+            close(v, now);
+        }
+    }
+
+  private:
+    struct Share {
+        double quota = 0;
+        double tokens = 0;
+        double filled = 0;
+        Meter arrivals;
+    };
+
+    const Operation& operation(const Invocation& v) const {
+        return deployment_.operations[static_cast<std::size_t>(v.what.operation)];
+    }
+    double draw() { return static_cast<double>(chance_()) / 16777216.0; }
+    static std::uint64_t token(Timer kind, std::uint32_t turn, int inv) {
+        return (static_cast<std::uint64_t>(kind) << 56) |
+               (static_cast<std::uint64_t>(turn & 0xffffffU) << 32) | static_cast<std::uint32_t>(inv);
+    }
+    void ask_for_list() { host_.watch_list(); }
+
+    // ---- the ring -------------------------------------------------------------------------------------
+
+    void build_rings() {
+        for (auto& ring : rings_) ring.clear();
+        members_.assign(rings_.size(), 0);
+        for (std::size_t i = 0; i < caches_.size(); ++i) {
+            const Cache& c = caches_[i];
+            if (c.standing != Standing::ready || c.origin) continue;
+            const auto z = static_cast<std::size_t>(c.zone);
+            ++members_[z];
+            for (int p = 0; p < kPoints; ++p) {
+                rings_[z].push_back({mix(c.hash + static_cast<std::uint64_t>(p)), static_cast<int>(i)});
+            }
+        }
+        for (auto& ring : rings_) {
+            std::sort(ring.begin(), ring.end(), [this](const Point& a, const Point& b) {
+                return a.at != b.at ? a.at < b.at : hash_of(a.cache) < hash_of(b.cache);
+            });
+        }
+    }
+    std::uint64_t hash_of(int cache) const { return caches_[static_cast<std::size_t>(cache)].hash; }
+
+    // The first cache clockwise that nothing speaks against; -1 when each one is ruled out.
+    int walk(const Invocation& v, int zone, double now, bool last_resort) {
+        const auto& ring = rings_[static_cast<std::size_t>(zone)];
+        if (ring.empty()) return -1;
+        int total = 0;
+        for (const Cache& c : caches_) {
+            if (c.standing == Standing::ready && !c.origin && c.zone == zone) total += c.out;
+        }
+        const int members = members_[static_cast<std::size_t>(zone)];
+        const double mean = static_cast<double>(total) / members;
+        const std::uint64_t at = mix(v.what.key ^ kRingSeed);
+        auto p = std::lower_bound(ring.begin(), ring.end(), at,
+                                  [](const Point& x, std::uint64_t key) { return x.at < key; });
+        ++walk_turn_;
+        int passed = -1;
+        int seen = 0;
+        for (std::size_t steps = 0; steps < ring.size() && seen < members; ++steps, ++p) {
+            if (p == ring.end()) p = ring.begin();
+            Cache& c = caches_[static_cast<std::size_t>(p->cache)];
+            if (c.seen == walk_turn_) continue;
+            c.seen = walk_turn_;
+            ++seen;
+            if (!may_forward(v, p->cache, now)) continue;
+            if (!last_resort && tried(v, p->cache)) continue;
+            if (!welcome_cold(c, v, now)) continue;
+            if (last_resort) return p->cache;
+            if (!healthy(c, now) && !trial_due(c, v, now)) continue;
+            if (now < c.full_until) continue;
+            if (c.out > kFloor && c.out > kOverMean * mean) {
+                if (passed < 0) passed = p->cache;
+                continue;
+            }
+            return p->cache;
+        }
+        return passed;
+    }
+
+    // Own zone first. Exception: when each cache there is suspect, full, cold or tried, the next zone's ring.
+    int choose(const Invocation& v, double now) {
+        const int zones = static_cast<int>(rings_.size());
+        for (bool last_resort : {false, true}) {
+            for (int z = 0; z < zones; ++z) {
+                const int c = walk(v, (deployment_.zone + z) % zones, now, last_resort);
+                if (c >= 0) return c;
+            }
+        }
+        return -1;
+    }
+
+    bool tried(const Invocation& v, int cache) const {
+        return std::any_of(v.forwards.begin(), v.forwards.end(),
+                           [cache](const Forward& f) { return f.cache == cache; });
+    }
+
+    // ---- rule 2: may this be forwarded there, may it be throttled ---------------------------------------
+
+    bool may_forward(const Invocation& v, int cache, double now) const {
+        const Operation& op = operation(v);
+        const Cache& to = caches_[static_cast<std::size_t>(cache)];
+        if (to.standing != Standing::ready) return false;
+        if (static_cast<int>(v.forwards.size()) >= deployment_.most_forwards) return false;
+        if (v.out > 0 && !deployment_.may_duplicate) return false;
+        if (op.repeat == Repeat::idempotent) return true;
+        for (const Forward& f : v.forwards) {
+            if (f.fate == Fate::never_ran) continue;
+            if (op.repeat == Repeat::non_idempotent) return false;
+            const Cache& from = caches_[static_cast<std::size_t>(f.cache)];
+            if (op.scope == Scope::zone && from.zone != to.zone) return false;
+            if (op.scope == Scope::cell && (from.cell != to.cell || from.zone != to.zone)) return false;
+            // The margin: a repeat counts from when it gets there, behind a connect and a tick.
+            if (now + deployment_.connect_timeout + deployment_.tick >= f.sent + op.dedup_window)
+                return false;
+        }
+        return true;
+    }
+
+    bool may_throttle(const Invocation& v) const {
+        const Operation& op = operation(v);
+        if (op.repeat == Repeat::idempotent) return true;
+        if (op.repeat == Repeat::deduplicated && op.scope == Scope::all) return true;
+        return std::all_of(v.forwards.begin(), v.forwards.end(),
+                           [](const Forward& f) { return f.fate == Fate::never_ran; });
+    }
+
+    // ---- what a cold cache may be sent -------------------------------------------------------------------
+
+    double warmth(const Cache& c, double now) const {
+        if (deployment_.warm_within <= 0) return 1;
+        const double age = std::max(0.0, now - c.cold_since);
+        if (age >= deployment_.warm_within) return 1;
+        return kColdSafety *
+               (deployment_.cold_from + (1 - deployment_.cold_from) * age / deployment_.warm_within);
+    }
+
+    // The same keys at every node, more of them as it warms; and this node's part of rule 4's budget.
+    bool welcome_cold(Cache& c, const Invocation& v, double now) {
+        const double warm = warmth(c, now);
+        if (warm >= 1) return true;
+        if (unit(mix(v.what.key * 3 ^ c.hash)) >= warm) return false;
+        const int warm_caches = std::max<int>(1, members_[static_cast<std::size_t>(c.zone)]);
+        const double normal = sent_.sum(now) / kSentSpan / warm_caches;  // this node's rate to a cache
+        const double budget = kColdBudget * deployment_.fall_multiple * warm * std::max(normal, 0.5) * 2.0;
+        return c.cold_sent.sum(now) + 1 <= std::max(budget, 1.0);
+    }
+
+    // ---- health --------------------------------------------------------------------------------------
+
+    bool healthy(Cache& c, double now) {
+        if (!c.suspect && c.out >= 2 && c.unanswered > 0) {
+            const int n = c.pace.count(now);
+            const double usual = n > 0 ? c.pace.sum(now) / n : 0;
+            if (now - c.unanswered > std::max(kSilence, 3 * usual)) suspect(c, true, now);
+        }
+        return !c.suspect;
+    }
+
+    void suspect(Cache& c, bool silent, double now) {
+        if (!c.suspect) c.trial_gap = kTrialGap;
+        c.suspect = true;
+        c.silent = c.silent || silent;
+        c.next_trial = now + c.trial_gap * (0.75 + 0.5 * draw());
+        c.trial_gap = std::min(2 * c.trial_gap, kTrialGapMost);
+    }
+
+    // A suspect gets one invocation now and then, only one that may be forwarded again.
+    bool trial_due(Cache& c, const Invocation& v, double now) {
+        if (now < c.next_trial || operation(v).repeat != Repeat::idempotent || !v.forwards.empty())
+            return false;
+        c.next_trial = now + c.trial_gap;
+        return true;
+    }
+
+    void judge(Cache& c, const Invocation& v, const Forward& f, Ending ending, double took, double now) {
+        const Operation& op = operation(v);
+        if (!c.origin) {
+            endings_.add(now, ending == Ending::busy || ending == Ending::timed_out ||
+                                      ending == Ending::refused || took > kStrainPart * op.latency_objective
+                                  ? 1
+                                  : 0);
+        }
+        switch (ending) {
+            case Ending::succeeded:
+            case Ending::miss:
+                c.failures = 0;
+                c.unanswered = c.out > 0 ? now : 0;
+                c.pace.add(now, took);
+                if (ending == Ending::succeeded && !c.origin) {
+                    Meter& pace = paces_[static_cast<std::size_t>(v.what.operation)];
+                    pace.add(now, took);
+                }
+                if (c.origin) return;
+                if (c.suspect) {
+                    if (c.silent || took < kSlowTimes * usual_pace(now)) {
+                        if (c.silent)
+                            c.cold_since = std::max(c.cold_since, now);  // it may have come back empty
+                        c.suspect = c.silent = false;
+                        c.pace.clear();
+                    } else {
+                        suspect(c, false, now);
+                    }
+                } else if (c.pace.count(now) >= kSlowCount) {
+                    const double own = c.pace.sum(now) / c.pace.count(now);
+                    if (own > kSlowTimes * usual_pace(now)) suspect(c, false, now);
+                }
+                break;
+            case Ending::busy:
+                c.failures = 0;
+                c.unanswered = c.out > 0 ? now : 0;
+                c.full_until = now + kFullPause;
+                break;
+            case Ending::errored:
+                c.unanswered = c.out > 0 ? now : 0;
+                break;
+            case Ending::timed_out:
+            case Ending::refused:
+            case Ending::reset:
+                if (c.unanswered >= 0 && f.sent < c.unanswered) c.unanswered = f.sent;
+                if (++c.failures >= kSilentRun && !c.origin) suspect(c, true, now);
+                break;
+            case Ending::cancelled:
+            case Ending::not_sent:
+                break;
+        }
+        if (c.out == 0) c.unanswered = 0;
+    }
+
+    // The median of the caches' paces: one that a few slow ones cannot drag along.
+    double usual_pace(double now) {
+        std::vector<double> paces;
+        for (Cache& c : caches_) {
+            if (c.origin || c.standing != Standing::ready || c.pace.count(now) < kSlowCount) continue;
+            paces.push_back(c.pace.sum(now) / c.pace.count(now));
+        }
+        if (paces.size() < 3) return 1e9;
+        std::nth_element(paces.begin(), paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2),
+                         paces.end());
+        return paces[paces.size() / 2];
+    }
+
+    // ---- forwards --------------------------------------------------------------------------------------
+
+    void send(Invocation& v, int cache, double limit, double now) {
+        Cache& c = caches_[static_cast<std::size_t>(cache)];
+        v.forwards.push_back({cache, now, Fate::out});
+        ++v.out;
+        ++c.out;
+        if (c.unanswered == 0) c.unanswered = now;
+        if (!c.origin) {
+            sent_.add(now, 1);
+            c.cold_sent.add(now, 1);
+        }
+        host_.forward(v.what.inv, cache, limit);
+    }
+
+    void to_cache(Invocation& v, double now) {
+        const int cache = choose(v, now);
+        if (cache < 0) {
+            if (!v.what.write && origin(now) >= 0 && members_none()) {
+                to_origin(v, now);
+            } else {
+                close(v, now);
+            }
+            return;
+        }
+        const double left = v.useful - now;
+        double limit = left;
+        const bool another = operation(v).repeat != Repeat::non_idempotent &&
+                             static_cast<int>(v.forwards.size()) + 1 < deployment_.most_forwards;
+        if (another) {
+            Meter& pace = paces_[static_cast<std::size_t>(v.what.operation)];
+            const int n = pace.count(now);
+            const double usual = n > 0 ? pace.sum(now) / n : left;
+            limit = std::clamp(4 * usual, kLeastPart * left, kFirstPart * left);
+        }
+        send(v, cache, limit, now);
+    }
+    bool members_none() const {
+        return std::all_of(members_.begin(), members_.end(), [](int n) { return n == 0; });
+    }
+
+    // After a failed forward: another if rule 2, the time left and the budget all allow it.
+    void again(Invocation& v, double now, bool from_origin) {
+        if (v.useful - now > 2 * deployment_.tick && retries_ >= 1) {
+            retries_ -= 1;
+            if (from_origin) {
+                to_origin(v, now);
+            } else {
+                to_cache(v, now);
+            }
+            return;
+        }
+        close(v, now);
+    }
+
+    // The final answer of a given-up invocation, at once: throttled where rule 2 lets it, else errored.
+    void close(Invocation& v, double now) {
+        v.open = false;
+        leave_wait(v);
+        if (may_throttle(v)) {
+            const double advice =
+                std::min(deployment_.longest_retry_advice, 0.2 + pressure_ * (0.5 + draw()));
+            host_.throttle(v.what.inv, deployment_.longest_retry_advice > 0 ? advice : 0);
+        } else {
+            host_.error(v.what.inv);
+        }
+        drop_copies(v);
+        (void)now;
+    }
+
+    // Work for nobody is called back, except a fetch: its answer still fills the cache for those who wait.
+    void drop_copies(Invocation& v) {
+        if (!deployment_.may_cancel || v.streaming) return;
+        for (std::size_t i = 0; i < v.forwards.size(); ++i) {
+            const Forward& f = v.forwards[i];
+            if (f.fate == Fate::out && !caches_[static_cast<std::size_t>(f.cache)].origin) {
+                host_.cancel(v.what.inv, static_cast<int>(i));
+            }
+        }
+    }
+
+    // ---- the origin ------------------------------------------------------------------------------------
+
+    int origin(double) const {
+        int best = -1;
+        for (std::size_t i = 0; i < caches_.size(); ++i) {
+            const Cache& c = caches_[i];
+            if (c.origin && c.standing == Standing::ready && (best < 0 || c.hash < hash_of(best))) {
+                best = static_cast<int>(i);
+            }
+        }
+        return best;
+    }
+
+    void to_origin(Invocation& v, double now) {
+        const int at = origin(now);
+        if (at < 0 || !may_forward(v, at, now)) {
+            if (v.out == 0) close(v, now);
+            return;
+        }
+        if (!v.what.write && v.what.has_key) {
+            // One fetch a key: a void or new popular key would otherwise cost a fetch for each who asks.
+            const auto fetch = fetches_.find(v.what.key);
+            if (fetch != fetches_.end()) {
+                fetch->second.push_back(v.what.inv);
+                wait(v, Wait::fetch, now);
+                return;
+            }
+        }
+        if (origin_out_ < origin_limit_) {
+            fetch_now(v, at, now);
+        } else if (queue_.size() < kQueueMost) {
+            queue_.push_back(v.what.inv);
+            wait(v, Wait::queue, now);
+        } else {
+            close(v, now);
+        }
+    }
+
+    void fetch_now(Invocation& v, int at, double now) {
+        ++origin_out_;
+        if (!v.what.write && v.what.has_key) {
+            fetches_[v.what.key];
+            v.leads = true;
+        }
+        send(v, at, v.useful - now, now);
+    }
+
+    void wait(Invocation& v, Wait how, double now) {
+        v.wait = how;
+        host_.wake(std::max(v.useful - now - 2 * deployment_.tick, 0.0),
+                   token(Timer::expiry, v.turn, v.what.inv));
+    }
+
+    void leave_wait(Invocation& v) {
+        if (v.wait == Wait::queue) std::erase(queue_, v.what.inv);
+        if (v.wait == Wait::fetch) {
+            const auto fetch = fetches_.find(v.what.key);
+            if (fetch != fetches_.end()) std::erase(fetch->second, v.what.inv);
+        }
+        v.wait = Wait::none;
+    }
+
+    void origin_ended(Invocation& v, Ending ending, double took, double now) {
+        --origin_out_;
+        adapt_origin(ending, took, now);
+        std::vector<int> waiting;
+        if (v.leads) {
+            v.leads = false;
+            const auto fetch = fetches_.find(v.what.key);
+            waiting.swap(fetch->second);
+            fetches_.erase(fetch);
+        }
+        for (int inv : waiting) {
+            Invocation& w = invs_[static_cast<std::size_t>(inv)];
+            w.wait = Wait::none;
+            if (ending == Ending::succeeded && v.missed_at >= 0 && may_forward(w, v.missed_at, now)) {
+                send(w, v.missed_at, w.useful - now, now);  // it is stored there now
+            } else {
+                to_origin(w, now);
+            }
+        }
+        while (origin_out_ < origin_limit_ && !queue_.empty()) {
+            // The most billed value first, then whoever has the least time left.
+            const auto next = std::min_element(queue_.begin(), queue_.end(), [this](int a, int b) {
+                const Invocation& x = invs_[static_cast<std::size_t>(a)];
+                const Invocation& y = invs_[static_cast<std::size_t>(b)];
+                const double vx = operation(x).billed_value;
+                const double vy = operation(y).billed_value;
+                return vx != vy ? vx > vy : x.useful < y.useful;
+            });
+            Invocation& w = invs_[static_cast<std::size_t>(*next)];
+            queue_.erase(next);
+            w.wait = Wait::none;
+            to_origin(w, now);
+        }
+    }
+
+    // Its capacity is never told: the limit grows while answers come at the best pace, falls when they queue.
+    void adapt_origin(Ending ending, double took, double now) {
+        if (ending == Ending::succeeded) {
+            origin_pace_ = origin_pace_ == 0 ? took : origin_pace_ + (took - origin_pace_) / 8;
+            origin_best_ = origin_best_ == 0 ? origin_pace_ : std::min(origin_pace_, origin_best_ * 1.002);
+            if (origin_pace_ < kOriginSlow * origin_best_) {
+                if (origin_out_ + 1 >= origin_limit_ - 1) {
+                    origin_limit_ = std::min(origin_limit_ + 1 / origin_limit_, kOriginMost);
+                }
+                return;
+            }
+        } else if (ending == Ending::cancelled || ending == Ending::not_sent || ending == Ending::errored) {
+            return;
+        }
+        if (now - origin_cut_ > std::max(origin_pace_, 0.1)) {
+            origin_cut_ = now;
+            origin_limit_ = std::max(kOriginLeast, origin_limit_ * 0.8);
+        }
+    }
+
+    // ---- shares, and pressure ------------------------------------------------------------------------
+
+    // Over its share at this node: quotas hold for all nodes together, so each is scaled by this node's
+    // part of the traffic, guessed from the tenants in the middle, which are seldom the greedy ones.
+    bool over_share(const Invocation& v, double now) {
+        if (v.what.tenant < 0 || v.what.tenant >= static_cast<int>(tenants_.size()) || tenants_.size() < 2)
+            return false;
+        Share& s = tenants_[static_cast<std::size_t>(v.what.tenant)];
+        s.arrivals.add(now, 1);
+        if (s.quota <= 0) return false;
+        const double rate = s.quota * node_part_;
+        s.tokens = std::min(s.tokens + (now - s.filled) * rate, std::max(rate, 1.0));
+        s.filled = now;
+        if (s.tokens < 1) return true;
+        s.tokens -= 1;
+        return false;
+    }
+
+    void look(double now) {
+        if (now - looked_ < kPressureLook) return;
+        looked_ = now;
+        const int n = endings_.count(now);
+        const double strained = n > 0 ? endings_.sum(now) / n : 0;
+        pressure_ = std::clamp(pressure_ + (strained > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
+        std::vector<double> parts;
+        for (Share& s : tenants_) {
+            if (s.quota > 0) parts.push_back(s.arrivals.sum(now) / 4.0 / s.quota);
+        }
+        node_part_ = 1.0 / std::max(1, deployment_.nodes);
+        if (!parts.empty()) {
+            std::nth_element(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(parts.size() / 2),
+                             parts.end());
+            node_part_ = std::clamp(parts[parts.size() / 2], node_part_, 1.0);
+        }
+    }
+
+    static constexpr double kSentSpan = 4.0;
+
+    const Deployment deployment_;
+    Host& host_;
+    std::ranlux24_base chance_;
+    std::vector<Cache> caches_;
+    std::vector<std::vector<Point>> rings_;
+    std::vector<int> members_;
+    std::vector<Invocation> invs_;
+    std::vector<Share> tenants_;
+    std::vector<Meter> paces_;  // a row an operation: seconds its successes took
+    Meter sent_{kSentSpan};
+    Meter endings_{1.0};
+    unsigned list_turn_ = 0;
+    unsigned walk_turn_ = 1U << 31;
+    int list_failures_ = 0;
+    double retries_ = kRetryMost / 2;
+    double pressure_ = 0;
+    double looked_ = 0;
+    double node_part_ = 1;
+    std::map<std::uint64_t, std::vector<int>> fetches_;  // key: who waits for its fetch
+    std::vector<int> queue_;                             // who waits for a place at the origin
+    double origin_limit_ = kOriginStart;
+    double origin_pace_ = 0;
+    double origin_best_ = 0;
+    double origin_cut_ = 0;
+    int origin_out_ = 0;
+};
+
+}  // namespace
+
+std::unique_ptr<Balancer> make_balancer(const Deployment& deployment, std::uint64_t seed, Host& host) {
+    return std::make_unique<Decisions>(deployment, seed, host);
+}
+
+}  // namespace brookrelay
--- /dev/null
+++ b/src/decision/balancer.h
@@ -0,0 +1,113 @@
+// Interface of the decision module: what it is told at start, what can happen to it, and what it may do.
+// Nothing is decided here; see balancer.cpp. All times are seconds. Caches, operations, tenants and
+// invocations are small indices that whoever calls the module hands out at the door.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace brookrelay {
+
+enum class Repeat { idempotent, deduplicated, non_idempotent };
+enum class Scope { all, zone, cell };
+enum class Standing { ready, draining, gone };
+enum class ListKind { change, whole, disk };
+enum class Ending { succeeded, errored, busy, timed_out, refused, reset, cancelled, not_sent, miss };
+
+struct Operation {
+    Repeat repeat = Repeat::idempotent;
+    Scope scope = Scope::all;  // which caches drop a repeat of a deduplicated invocation
+    double dedup_window = 0;   // and for how long after its first forward
+    double latency_objective = 0;
+    double client_timeout = 0;
+    double billed_value = 1;
+    double tardy_part = 0;  // part of the billed value that an answer after the objective still earns
+    bool streamed = false;
+};
+
+struct Tenant {
+    double quota = 0;  // invocations a second within its share, over all nodes; 0: no share is known
+};
+
+// What the node is told once, at start.
+struct Deployment {
+    int zone = 0;
+    int zones = 1;
+    int node = 0;
+    int nodes = 1;
+    double tick = 0;
+    bool ask_for_list = false;
+    double ask_every = 0;
+    int origin_kind = -1;  // -1: caches fetch for themselves
+    double origin_fall_multiple = 0;
+    bool may_duplicate = true;
+    bool may_cancel = false;
+    bool may_probe = false;
+    bool may_tell_peers = false;
+    int most_forwards = 1;
+    double longest_retry_advice = 0;  // 0: clients take no advice
+    double connect_timeout = 0;
+    double answer_grace = 0;
+    double drain_grace = 0;
+    double cold_from = 1;
+    double warm_within = 0;
+    double fall_multiple = 0;
+    double fall_time = 0;
+    std::vector<Operation> operations;
+    std::vector<Tenant> tenants;
+};
+
+struct Listing {
+    int cache = 0;
+    std::string_view name;
+    int zone = 0;
+    int kind = 0;
+    int cell = 0;
+    Standing standing = Standing::ready;
+    double started = 0;  // 0: long ago
+};
+
+struct Arrival {
+    int inv = 0;
+    int operation = 0;
+    int tenant = -1;
+    bool write = false;
+    bool has_key = false;
+    std::uint64_t key = 0;
+    double time_left = 0;
+};
+
+// What the module may do. A call takes effect at once; nothing is queued behind it.
+class Host {
+  public:
+    virtual ~Host() = default;
+    virtual void forward(int inv, int cache, double limit) = 0;
+    virtual void cancel(int inv, int forward) = 0;
+    virtual void throttle(int inv, double retry_after) = 0;
+    virtual void error(int inv) = 0;
+    virtual void probe(int cache) = 0;
+    virtual void watch_list() = 0;
+    virtual void wake(double after, std::uint64_t token) = 0;
+    virtual void log(std::string_view text) = 0;
+};
+
+// One method for each thing that can happen; `now` never goes back.
+class Balancer {
+  public:
+    virtual ~Balancer() = default;
+    virtual void listed(double now, ListKind kind, const std::vector<Listing>& entries) = 0;
+    virtual void list_failed(double now) = 0;
+    virtual void arrived(double now, const Arrival& arrival) = 0;
+    // `over`: the invocation has had its final answer, with this outcome or before it.
+    virtual void ended(double now, int inv, int forward, Ending ending, double took, bool over) = 0;
+    virtual void stream_started(double now, int inv, int forward) = 0;
+    virtual void client_left(double now, int inv) = 0;
+    virtual void probed(double now, int cache, Ending ending, double took) = 0;
+    virtual void woken(double now, std::uint64_t token) = 0;
+};
+
+std::unique_ptr<Balancer> make_balancer(const Deployment& deployment, std::uint64_t seed, Host& host);
+
+}  // namespace brookrelay
--- /dev/null
+++ b/src/sim/adapter.cpp
@@ -0,0 +1,519 @@
+// Puts the decision module on the bench's wire (garnet-ffb5): one Balancer an instance. It decodes lines
+// into calls, encodes what the module does at once, and maps the wire's ids to small indices and back.
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <iostream>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "../decision/balancer.h"
+
+namespace brookrelay {
+namespace {
+
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+using Pool = rapidjson::MemoryPoolAllocator<>;
+using Document = rapidjson::GenericDocument<rapidjson::UTF8<>, Pool, Pool>;
+using Value = Document::ValueType;
+
+struct BadInput : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+const Value* find(const Value& object, const char* name) {
+    const auto member = object.FindMember(name);
+    return member == object.MemberEnd() || member->value.IsNull() ? nullptr : &member->value;
+}
+
+const Value& need(const Value& object, const char* name) {
+    const Value* value = find(object, name);
+    if (value == nullptr) throw BadInput(std::string("missing field '") + name + "'");
+    return *value;
+}
+
+double number(const Value& value, const char* name) {
+    if (!value.IsNumber()) throw BadInput(std::string("field '") + name + "' is not a number");
+    return value.GetDouble();
+}
+
+double number(const Value& object, const char* name, double otherwise) {
+    const Value* value = find(object, name);
+    return value == nullptr ? otherwise : number(*value, name);
+}
+
+double seconds(const Value& object, const char* name, double otherwise = 0) {
+    return number(object, name, otherwise * 1e6) / 1e6;
+}
+
+std::int64_t whole(const Value& value, const char* name) {
+    if (!value.IsInt64()) throw BadInput(std::string("field '") + name + "' is not a whole number");
+    return value.GetInt64();
+}
+
+int small(const Value& object, const char* name, int otherwise) {
+    const Value* value = find(object, name);
+    if (value == nullptr) return otherwise;
+    if (!value->IsInt()) throw BadInput(std::string("field '") + name + "' is not a small whole number");
+    return value->GetInt();
+}
+
+bool flag(const Value& object, const char* name, bool otherwise = false) {
+    const Value* value = find(object, name);
+    if (value == nullptr) return otherwise;
+    if (!value->IsBool()) throw BadInput(std::string("field '") + name + "' is not true or false");
+    return value->GetBool();
+}
+
+std::string_view text(const Value& value, const char* name) {
+    if (!value.IsString()) throw BadInput(std::string("field '") + name + "' is not a text");
+    return {value.GetString(), value.GetStringLength()};
+}
+
+template <typename T, std::size_t N>
+T word(const Value& value, const char* name, const std::array<std::pair<std::string_view, T>, N>& words) {
+    const std::string_view said = text(value, name);
+    for (const auto& [known, meaning] : words) {
+        if (known == said) return meaning;
+    }
+    throw BadInput(std::string("field '") + name + "' has the unknown value '" + std::string(said) + "'");
+}
+
+constexpr std::array<std::pair<std::string_view, Ending>, 9> kEndings{{{"done", Ending::succeeded},
+                                                                       {"enoent", Ending::miss},
+                                                                       {"err", Ending::errored},
+                                                                       {"busy", Ending::busy},
+                                                                       {"etimedout", Ending::timed_out},
+                                                                       {"econnrefused", Ending::refused},
+                                                                       {"econnreset", Ending::reset},
+                                                                       {"ecanceled", Ending::cancelled},
+                                                                       {"skipped", Ending::not_sent}}};
+constexpr std::array<std::pair<std::string_view, Standing>, 3> kStandings{
+    {{"SERVING", Standing::ready}, {"DRAINING", Standing::draining}, {"DELETED", Standing::gone}}};
+constexpr std::array<std::pair<std::string_view, Repeat>, 3> kRepeats{
+    {{"idempotent", Repeat::idempotent},
+     {"deduplicated", Repeat::deduplicated},
+     {"at_most_once", Repeat::non_idempotent}}};
+constexpr std::array<std::pair<std::string_view, Scope>, 3> kScopes{
+    {{"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}}};
+
+Deployment read_deployment(const Value& info) {
+    if (!info.IsObject()) throw BadInput("field 'boot_info' is not an object");
+    Deployment d;
+    d.zone = small(info, "az", 0);
+    if (const Value* zones = find(info, "localities"); zones != nullptr && zones->IsArray()) {
+        d.zones = static_cast<int>(zones->Size());
+    }
+    d.node = small(info, "my_number", 0);
+    d.nodes = small(info, "balancers", 1);
+    d.tick = seconds(info, "granularity_us");
+    if (const Value* how = find(info, "discovery")) d.ask_for_list = text(*how, "discovery") == "on_request";
+    if (const Value* rules = find(info, "guarantees")) {
+        d.ask_every = seconds(*rules, "ask_every_us");
+        d.answer_grace = seconds(*rules, "grace_to_answer_us");
+        d.drain_grace = seconds(*rules, "stop_sending_within_us");
+        d.cold_from = number(*rules, "cold_from", 1);
+        d.warm_within = seconds(*rules, "warm_within_us");
+        d.fall_multiple = number(*rules, "fall_multiple", 0);
+        d.fall_time = seconds(*rules, "fall_us");
+    }
+    if (const Value* allowed = find(info, "permissions")) {
+        d.may_duplicate = flag(*allowed, "may_duplicate");
+        d.may_cancel = flag(*allowed, "cancel");
+        d.may_probe = flag(*allowed, "may_probe");
+        d.may_tell_peers = flag(*allowed, "peers");
+        d.most_forwards = small(*allowed, "most_forwards", 1);
+        d.connect_timeout = seconds(*allowed, "connect_timeout_us");
+        if (flag(*allowed, "retry_after")) d.longest_retry_advice = seconds(*allowed, "max_retry_after_us");
+    }
+    if (const Value* facts = find(info, "specifics")) {
+        const Value* mode = find(*facts, "mode");
+        if (mode != nullptr && text(*mode, "mode") == "aside")
+            d.origin_kind = small(*facts, "origin_kind", -1);
+        d.origin_fall_multiple = number(*facts, "origin_fall_multiple", 0);
+    }
+    const Value& operations = need(info, "operations");
+    if (!operations.IsArray()) throw BadInput("field 'operations' is not a list");
+    for (const Value& o : operations.GetArray()) {
+        Operation op;
+        op.repeat = word(need(o, "repeat"), "repeat", kRepeats);
+        if (const Value* group = find(o, "group")) op.scope = word(*group, "group", kScopes);
+        op.dedup_window = seconds(o, "key_ttl_us");
+        op.client_timeout = seconds(o, "client_timeout_us");
+        op.latency_objective = seconds(o, "latency_objective_us", op.client_timeout);
+        op.billed_value = number(o, "billed_value", 1);
+        op.tardy_part = number(o, "tardy_billed_value", 0);
+        op.streamed = flag(o, "streamed");
+        d.operations.push_back(op);
+    }
+    if (const Value* tenants = find(info, "parties"); tenants != nullptr && tenants->IsArray()) {
+        for (const Value& t : tenants->GetArray()) d.tenants.push_back({number(t, "quota_per_s", 0)});
+    }
+    return d;
+}
+
+class Instance final : public Host {
+  public:
+    Instance(std::int64_t number, Writer& out) : number_(number), out_(out) {}
+
+    void start(const Deployment& deployment, std::uint64_t seed) {
+        operations_ = static_cast<int>(deployment.operations.size());
+        slots_.clear();
+        free_.clear();
+        by_id_.clear();
+        caches_.clear();
+        names_.clear();
+        balancer_ = make_balancer(deployment, seed, *this);
+    }
+    void stop() { balancer_.reset(); }
+    bool running() const { return balancer_ != nullptr; }
+
+    void list(double now, const Value& e) {
+        const std::string_view mode = text(need(e, "mode"), "mode");
+        if (mode == "error") {
+            balancer_->list_failed(now);
+            return;
+        }
+        ListKind kind = ListKind::change;
+        if (mode == "snapshot")
+            kind = ListKind::whole;
+        else if (mode == "disk")
+            kind = ListKind::disk;
+        else if (mode != "diff")
+            throw BadInput("field 'mode' has the unknown value '" + std::string(mode) + "'");
+        std::vector<Listing> entries;
+        if (const Value* array = find(e, "entries")) {
+            if (!array->IsArray()) throw BadInput("field 'entries' is not a list");
+            for (const Value& entry : array->GetArray()) {
+                if (!entry.IsObject()) throw BadInput("an entry of 'entries' is not an object");
+                Listing l;
+                l.name = text(need(entry, "server"), "server");
+                l.cache = cache_index(l.name);
+                l.zone = small(entry, "locality", 0);
+                l.kind = small(entry, "machine", 0);
+                l.cell = small(entry, "group", 0);
+                l.standing = word(need(entry, "mode"), "mode", kStandings);
+                l.started = seconds(entry, "since_us");
+                entries.push_back(l);
+            }
+        }
+        balancer_->listed(now, kind, entries);
+    }
+
+    void arrive(double now, const Value& e) {
+        Arrival a;
+        const std::int64_t id = whole(need(e, "corr"), "corr");
+        a.operation = small(e, "cls", -1);
+        if (a.operation < 0) throw BadInput("missing field 'cls'");
+        if (a.operation >= operations_) throw BadInput("field 'cls' names no operation");
+        a.time_left = number(need(e, "remaining_us"), "remaining_us") / 1e6;
+        a.write = (small(e, "options", 0) & 4) != 0;
+        a.tenant = small(e, "org", 0);
+        if (const Value* key = find(e, "key")) {
+            a.has_key = true;
+            a.key = static_cast<std::uint64_t>(whole(*key, "key"));
+        }
+        if (by_id_.contains(id)) throw BadInput("field 'corr' names an invocation that has already come");
+        if (free_.empty()) {
+            free_.push_back(static_cast<int>(slots_.size()));
+            slots_.emplace_back();
+        }
+        a.inv = free_.back();
+        free_.pop_back();
+        slots_[static_cast<std::size_t>(a.inv)] = {id, 0, false};
+        by_id_.emplace(id, a.inv);
+        balancer_->arrived(now, a);
+        settle_ended();
+    }
+
+    void end(double now, const Value& e) {
+        const int inv = invocation_index(e);
+        const int forward = small(need_with(e, "copy"), "copy", 0);
+        const Ending ending = word(need(e, "result"), "result", kEndings);
+        const double took = number(need(e, "delay_seen_us"), "delay_seen_us") / 1e6;
+        if (inv < 0) return;
+        Slot& slot = slots_[static_cast<std::size_t>(inv)];
+        --slot.out;
+        const bool over = flag(e, "no_more") || slot.over;
+        slot.over = over;
+        balancer_->ended(now, inv, forward, ending, took, over);
+        settle(inv);
+        settle_ended();
+    }
+
+    void leave(double now, const Value& e) {
+        const int inv = invocation_index(e);
+        if (inv < 0) return;
+        slots_[static_cast<std::size_t>(inv)].over = true;
+        balancer_->client_left(now, inv);
+        settle(inv);
+        settle_ended();
+    }
+
+    void stream(double now, const Value& e) {
+        const int inv = invocation_index(e);
+        const int forward = small(need_with(e, "copy"), "copy", 0);
+        if (inv >= 0) balancer_->stream_started(now, inv, forward);
+    }
+
+    void probe_back(double now, const Value& e) {
+        const auto at = caches_.find(std::string(text(need(e, "server"), "server")));
+        const Ending ending = word(need(e, "result"), "result", kEndings);
+        if (at != caches_.end()) balancer_->probed(now, at->second, ending, seconds(e, "delay_seen_us"));
+    }
+
+    // Peers are heard where a deployment has them; nothing is decided from it.
+    void peer(double, const Value& e) {
+        need(e, "author");
+        need(e, "content");
+    }
+
+    void bell(double now, const Value& e) {
+        const std::string token(text(need(e, "handle"), "handle"));
+        std::uint64_t value = 0;
+        for (char c : token) {
+            if (c < '0' || c > '9') return;  // none of ours
+            value = value * 10 + static_cast<std::uint64_t>(c - '0');
+        }
+        balancer_->woken(now, value);
+        settle_ended();
+    }
+
+    void forward(int inv, int cache, double limit) override {
+        begin("submit_to");
+        ++slots_[static_cast<std::size_t>(inv)].out;
+        corr(inv);
+        out_.Key("limit_us");
+        out_.Int64(std::max<std::int64_t>(1, std::llround(limit * 1e6)));
+        server(cache);
+        out_.EndObject();
+    }
+    void cancel(int inv, int forward) override {
+        begin("retract");
+        corr(inv);
+        out_.Key("copy");
+        out_.Int(forward);
+        out_.EndObject();
+    }
+    void throttle(int inv, double retry_after) override {
+        begin("bounce");
+        corr(inv);
+        if (retry_after > 0) {
+            out_.Key("retry_in_us");
+            out_.Int64(std::llround(retry_after * 1e6));
+        }
+        out_.EndObject();
+        over(inv);
+    }
+    void error(int inv) override {
+        begin("drop_request");
+        corr(inv);
+        out_.EndObject();
+        over(inv);
+    }
+    void probe(int cache) override {
+        begin("check");
+        server(cache);
+        out_.EndObject();
+    }
+    void watch_list() override {
+        begin("observe");
+        out_.Key("active");
+        out_.Bool(true);
+        out_.EndObject();
+    }
+    void wake(double after, std::uint64_t token) override {
+        begin("remind");
+        out_.Key("after_us");
+        out_.Int64(std::max<std::int64_t>(1, std::llround(after * 1e6)));
+        out_.Key("handle");
+        const std::string handle = std::to_string(token);
+        out_.String(handle.data(), static_cast<rapidjson::SizeType>(handle.size()));
+        out_.EndObject();
+    }
+    void log(std::string_view line) override {
+        begin("emit");
+        out_.Key("body_text");
+        out_.String(line.data(), static_cast<rapidjson::SizeType>(line.size()));
+        out_.EndObject();
+    }
+
+  private:
+    struct Slot {
+        std::int64_t id = 0;
+        int out = 0;
+        bool over = false;
+    };
+
+    static const Value& need_with(const Value& e, const char* name) {
+        need(e, name);
+        return e;
+    }
+    int cache_index(std::string_view name) {
+        const auto [at, fresh] = caches_.try_emplace(std::string(name), static_cast<int>(names_.size()));
+        if (fresh) names_.emplace_back(name);
+        return at->second;
+    }
+    int invocation_index(const Value& e) const {
+        const auto at = by_id_.find(whole(need(e, "corr"), "corr"));
+        return at == by_id_.end() ? -1 : at->second;  // over and done with: legal, and nothing to do
+    }
+    void over(int inv) {
+        slots_[static_cast<std::size_t>(inv)].over = true;
+        to_settle_.push_back(inv);
+    }
+    // The module may end any invocation in any call, not just the one that the call is about.
+    void settle_ended() {
+        for (int inv : to_settle_) settle(inv);
+        to_settle_.clear();
+    }
+    // An invocation's place is given to another only once nothing of it can be heard any more.
+    void settle(int inv) {
+        const Slot& slot = slots_[static_cast<std::size_t>(inv)];
+        if (!slot.over || slot.out > 0 || by_id_.erase(slot.id) == 0) return;
+        free_.push_back(inv);
+    }
+    void begin(const char* what) {
+        out_.StartObject();
+        out_.Key("msg");
+        out_.String(what);
+        out_.Key("i");
+        out_.Int64(number_);
+    }
+    void corr(int inv) {
+        out_.Key("corr");
+        out_.Int64(slots_[static_cast<std::size_t>(inv)].id);
+    }
+    void server(int cache) {
+        const std::string& name = names_[static_cast<std::size_t>(cache)];
+        out_.Key("server");
+        out_.String(name.data(), static_cast<rapidjson::SizeType>(name.size()));
+    }
+
+    std::int64_t number_;
+    Writer& out_;
+    int operations_ = 0;
+    std::unique_ptr<Balancer> balancer_;
+    std::vector<Slot> slots_;
+    std::vector<int> free_;
+    std::vector<int> to_settle_;
+    std::unordered_map<std::int64_t, int> by_id_;
+    std::unordered_map<std::string, int> caches_;
+    std::vector<std::string> names_;
+};
+
+class Adapter {
+  public:
+    void batch(std::string& line) {
+        pool_.Clear();
+        Document document(&pool_, 1024, &stack_);
+        document.ParseInsitu(line.data());
+        if (document.HasParseError()) {
+            throw BadInput(std::string("not JSON: ") + rapidjson::GetParseError_En(document.GetParseError()));
+        }
+        if (!document.IsObject()) throw BadInput("a batch is not an object");
+        const double now = number(need(document, "t_us"), "t_us") / 1e6;
+        const Value& input = need(document, "input");
+        if (!input.IsArray()) throw BadInput("field 'input' is not a list");
+        buffer_.Clear();
+        writer_.Reset(buffer_);
+        writer_.StartObject();
+        writer_.Key("cmds");
+        writer_.StartArray();
+        for (const Value& e : input.GetArray()) event(now, e);
+        writer_.EndArray();
+        writer_.EndObject();
+        std::cout.write(buffer_.GetString(), static_cast<std::streamsize>(buffer_.GetSize()));
+        std::cout.put('\n').flush();
+    }
+
+  private:
+    void event(double now, const Value& e) {
+        if (!e.IsObject()) throw BadInput("an event is not an object");
+        const std::string_view what = text(need(e, "msg"), "msg");
+        try {
+            const std::int64_t number = whole(need(e, "i"), "i");
+            if (what == "provision") {
+                const Value& seed = need(e, "rng_seed");
+                if (!seed.IsUint64() && !seed.IsInt64())
+                    throw BadInput("field 'rng_seed' is not a whole number");
+                const auto value =
+                    seed.IsUint64() ? seed.GetUint64() : static_cast<std::uint64_t>(seed.GetInt64());
+                auto& fresh = instances_[number];
+                fresh = std::make_unique<Instance>(number, writer_);
+                fresh->start(read_deployment(need(e, "boot_info")), value);
+                return;
+            }
+            const auto handler = kHandlers.find(what);
+            if (handler == kHandlers.end()) throw BadInput("unknown event");
+            const auto at = instances_.find(number);
+            if (at == instances_.end()) {
+                throw BadInput("instance " + std::to_string(number) + " was never started");
+            }
+            Instance& instance = *at->second;
+            if (handler->second == nullptr) {
+                instance.stop();
+            } else if (instance.running()) {
+                (instance.*handler->second)(now, e);
+            }
+        } catch (const BadInput& bad) {
+            throw BadInput("event '" + std::string(what) + "': " + bad.what());
+        }
+    }
+
+    using Handler = void (Instance::*)(double, const Value&);
+    static const std::unordered_map<std::string_view, Handler> kHandlers;
+
+    std::array<char, 1 << 20> room_{};
+    Pool pool_{room_.data(), room_.size()};
+    Pool stack_;
+    rapidjson::StringBuffer buffer_;
+    Writer writer_{buffer_};
+    std::unordered_map<std::int64_t, std::unique_ptr<Instance>> instances_;
+};
+
+const std::unordered_map<std::string_view, Adapter::Handler> Adapter::kHandlers = {
+    {"answer", &Instance::end},
+    {"incoming", &Instance::arrive},
+    {"bell", &Instance::bell},
+    {"directory_update", &Instance::list},
+    {"gone", &Instance::leave},
+    {"established", &Instance::stream},
+    {"status_back", &Instance::probe_back},
+    {"note_from", &Instance::peer},
+    {"power_off", nullptr}};
+
+}  // namespace
+
+int run() {
+    auto adapter = std::make_unique<Adapter>();
+    std::string line;
+    std::int64_t lines = 0;
+    while (std::getline(std::cin, line)) {
+        ++lines;
+        try {
+            adapter->batch(line);
+        } catch (const BadInput& bad) {
+            std::cerr << "brookrelay_adapter: line " << lines << ": " << bad.what() << '\n';
+            return 1;
+        }
+    }
+    return 0;
+}
+
+}  // namespace brookrelay
+
+int main() {
+    std::ios::sync_with_stdio(false);
+    std::cin.tie(nullptr);
+    return brookrelay::run();
+}
--- /dev/null
+++ b/tests/ring_test.cpp
@@ -0,0 +1,99 @@
+// The ordinary path: ownership, minimal remapping, zones, and the pass-over's bounds on either side.
+#include <map>
+
+#include "host.h"
+
+using namespace brookrelay;
+
+namespace {
+
+std::vector<int> owners(Fleet& fleet, int keys) {
+    std::vector<int> all;
+    for (int k = 0; k < keys; ++k) all.push_back(fleet.owner(static_cast<std::uint64_t>(k) * 7919));
+    return all;
+}
+
+void a_key_keeps_its_owner_and_all_caches_own_some() {
+    Fleet fleet(6);
+    fleet.start();
+    const auto first = owners(fleet, 600);
+    assert(first == owners(fleet, 600));
+    std::map<int, int> share;
+    for (int c : first) ++share[c];
+    assert(share.size() == 6 && !share.contains(kOrigin));
+    for (const auto& [cache, n] : share) assert(n > 50 && n < 170);
+}
+
+void every_node_agrees() {
+    Fleet a(6), b(6);
+    b.deployment.node = 1;
+    a.start();
+    b.start();
+    assert(owners(a, 300) == owners(b, 300));
+}
+
+void a_leaving_cache_moves_only_its_own_keys() {
+    for (Standing standing : {Standing::draining, Standing::gone}) {
+        Fleet fleet(6);
+        fleet.start();
+        const auto before = owners(fleet, 400);
+        fleet.list[3].standing = standing;
+        fleet.tell(ListKind::change);
+        const auto after = owners(fleet, 400);
+        for (std::size_t k = 0; k < before.size(); ++k) {
+            assert(after[k] != 3);
+            if (before[k] != 3) assert(after[k] == before[k]);
+        }
+        fleet.list[3].standing = Standing::ready;
+        fleet.tell(ListKind::whole);
+        assert(owners(fleet, 400) == before);
+    }
+}
+
+void a_zone_keeps_to_itself_until_it_is_empty() {
+    Fleet fleet(6, 2);
+    fleet.start();
+    for (int c : owners(fleet, 200)) assert(c % 2 == 1);
+    for (Listing& l : fleet.list) {
+        if (l.cache != kOrigin && l.zone == 0) l.standing = Standing::gone;
+    }
+    fleet.tell(ListKind::change);
+    for (int c : owners(fleet, 200)) assert(c % 2 == 0 && c != kOrigin);
+}
+
+void the_pass_over_needs_both_bounds() {
+    // Forwards out at the key's owner and at each of the five others; passed over or not.
+    struct Case {
+        int own, others;
+        bool over;
+    };
+    Fleet oracle(6);
+    oracle.start();
+    const std::vector<int> owner = owners(oracle, 600);
+    for (const Case& c :
+         {Case{2, 0, false}, Case{3, 0, true}, Case{3, 2, false}, Case{5, 2, false}, Case{6, 2, true}}) {
+        Fleet fleet(6);
+        fleet.start();
+        const int full = owner[0];
+        std::map<int, int> out;
+        for (std::size_t k = 1; k < owner.size(); ++k) {
+            if (owner[k] == full || out[owner[k]] >= c.others) continue;
+            ++out[owner[k]];
+            fleet.arrive(k * 7919);
+        }
+        for (int n = 0; n < c.own; ++n) fleet.arrive(0);
+        assert(fleet.host.sent.back().cache == full);
+        fleet.arrive(0);
+        assert((fleet.host.sent.back().cache != full) == c.over);
+    }
+}
+
+}  // namespace
+
+int main() {
+    a_key_keeps_its_owner_and_all_caches_own_some();
+    every_node_agrees();
+    a_leaving_cache_moves_only_its_own_keys();
+    a_zone_keeps_to_itself_until_it_is_empty();
+    the_pass_over_needs_both_bounds();
+}
--- /dev/null
+++ b/tests/troubles_test.cpp
@@ -0,0 +1,57 @@
+// Each case is a trouble met on the bench, played on the module alone.
+#include "host.h"
+
+using namespace brookrelay;
+
+namespace {
+
+void a_silent_cache_is_passed_over_and_let_back_by_a_trial() {
+    Fleet fleet(4);
+    fleet.start();
+    const int owner = fleet.owner(77);
+    for (int n = 0; n < 3; ++n) {
+        const int inv = fleet.arrive(77);
+        fleet.now += 0.4;
+        if (fleet.host.sent.back().cache == owner) fleet.end(inv, 0, Ending::timed_out, 0.4);
+    }
+    assert(fleet.owner(77) != owner);
+    bool back = false;
+    for (int n = 0; n < 50; ++n) {
+        fleet.now += 0.4;
+        back = back || fleet.owner(77) == owner;
+    }
+    assert(back);
+}
+
+void misses_of_one_key_share_a_fetch() {
+    Fleet fleet(4);
+    fleet.start();
+    const int first = fleet.arrive(9);
+    const int second = fleet.arrive(9);
+    fleet.end(first, 0, Ending::miss);
+    fleet.end(second, 0, Ending::miss);
+    int fetches = 0;
+    for (const Sent& s : fleet.host.sent) fetches += s.cache == kOrigin;
+    assert(fetches == 1);
+    fleet.end(first, 1, Ending::succeeded, 0.1, true);
+    assert(fleet.host.sent.back().inv == second && fleet.host.sent.back().cache != kOrigin);
+}
+
+void the_list_is_asked_for_again_after_a_failure() {
+    Fleet fleet(2);
+    fleet.deployment.ask_for_list = true;
+    fleet.start(ListKind::disk);
+    assert(fleet.host.watches == 1);
+    fleet.node->list_failed(fleet.now);
+    assert(fleet.host.timers.size() == 1 && fleet.host.timers[0].after < fleet.deployment.ask_every);
+    fleet.node->woken(fleet.now + 1, fleet.host.timers[0].token);
+    assert(fleet.host.watches == 2);
+}
+
+}  // namespace
+
+int main() {
+    a_silent_cache_is_passed_over_and_let_back_by_a_trial();
+    misses_of_one_key_share_a_fetch();
+    the_list_is_asked_for_again_after_a_failure();
+}
