--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -19,8 +19,8 @@
 
 constexpr int kPoints = 100;                                // points a cache; the design's figure
 constexpr std::uint64_t kRingSeed = 0x62726f6f6b72656cULL;  // the same at every node
-constexpr double kOverMean = 2.0;                           // the design's pass-over: above twice the mean
-constexpr int kFloor = 2;                                   // and above this many of this node's own forwards
+constexpr double kOverMean = 3.0;  // the design: at least twice; less tears keys from their copies
+constexpr int kFloor = 6;  // the design: at least two; a small floor passes over on chance alone
 
 constexpr int kSilentRun = 3;       // failures in a row that make a suspect; fewer and chance errors do
 constexpr double kSilence = 0.3;    // s without any answer, with forwards out, that make a suspect
@@ -273,8 +273,13 @@
         }
         if (!v.open || v.streaming) return;
         if (ending == Ending::miss && !c.origin) {
-            v.missed_at = at;
-            to_origin(v, now);
+            if (v.missed_at < 0) v.missed_at = at;
+            const int home = home_of(v, now);
+            if (home >= 0) {
+                send(v, home, v.useful - now, now);
+            } else {
+                to_origin(v, now);
+            }
         } else if (v.out == 0 && v.wait == Wait::none) {
             again(v, now, c.origin);
         }
@@ -385,6 +390,20 @@
         return passed;
     }
 
+    // Exception: a read that missed in its own zone is first asked of the key's home, one zone the same for
+    // all nodes. One zone's memory holds a part of what all hold together, and the origin cannot make up for it.
+    int home_of(const Invocation& v, double now) {
+        if (v.what.write || !v.what.has_key || rings_.size() < 2 || v.useful - now < 4 * deployment_.tick) return -1;
+        int all = 0;
+        for (int n : members_) all += n;
+        int nth = static_cast<int>(mix(v.what.key + 1) % static_cast<std::uint64_t>(std::max(all, 1)));
+        std::size_t zone = 0;
+        while (zone + 1 < members_.size() && nth >= members_[zone]) nth -= members_[zone++];
+        const int cache = walk(v, static_cast<int>(zone), now, false);
+        if (cache < 0 || static_cast<int>(zone) == caches_[static_cast<std::size_t>(v.forwards[0].cache)].zone) return -1;
+        return v.forwards.size() == 1 ? cache : -1;
+    }
+
     // Own zone first. Exception: when each cache there is suspect, full, cold or tried, the next zone's ring.
     int choose(const Invocation& v, double now) {
         const int zones = static_cast<int>(rings_.size());
