--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -49,6 +49,10 @@
 constexpr double kStrainPart = 0.35;    // a forward slower than this part of its objective is a strain
 constexpr double kStrained = 0.15;      // part of strained endings from which pressure rises
 
+constexpr double kReachStrain = 0.1;  // part of strained endings from which more keys reach out
+constexpr double kReachUp = 0.1;      // change of that share at each look: out in seconds,
+constexpr double kReachDown = 0.01;   // back in half a minute, or copies would be torn again and again
+
 std::uint64_t mix(std::uint64_t x) {
     x += 0x9e3779b97f4a7c15ULL;
     x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -170,7 +174,7 @@
         : deployment_(deployment),
           host_(host),
           chance_(static_cast<std::uint32_t>(mix(seed))),
-          rings_(static_cast<std::size_t>(std::max(1, deployment.zones))),
+          rings_(static_cast<std::size_t>(std::max(1, deployment.zones)) + 1),
           tenants_(deployment.tenants.size()) {
         for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
         paces_.resize(deployment.operations.size());
@@ -194,7 +198,7 @@
                 c.cold_since = start;
             }
             c.hash = hash_name(e.name);
-            c.zone = std::clamp(e.zone, 0, static_cast<int>(rings_.size()) - 1);
+            c.zone = std::clamp(e.zone, 0, pooled() - 1);
             c.cell = e.cell;
             c.origin = deployment_.origin_kind >= 0 && e.kind == deployment_.origin_kind;
             c.standing = e.standing;
@@ -274,7 +278,7 @@
         if (!v.open || v.streaming) return;
         if (ending == Ending::miss && !c.origin) {
             if (v.missed_at < 0) v.missed_at = at;
-            const int home = home_of(v, now);
+            const int home = pooled_owner(v, now);
             if (home >= 0) {
                 send(v, home, v.useful - now, now);
             } else {
@@ -341,8 +345,11 @@
             if (c.standing != Standing::ready || c.origin) continue;
             const auto z = static_cast<std::size_t>(c.zone);
             ++members_[z];
+            ++members_.back();
             for (int p = 0; p < kPoints; ++p) {
-                rings_[z].push_back({mix(c.hash + static_cast<std::uint64_t>(p)), static_cast<int>(i)});
+                const Point point{mix(c.hash + static_cast<std::uint64_t>(p)), static_cast<int>(i)};
+                rings_[z].push_back(point);
+                rings_.back().push_back(point);
             }
         }
         for (auto& ring : rings_) {
@@ -359,7 +366,7 @@
         if (ring.empty()) return -1;
         int total = 0;
         for (const Cache& c : caches_) {
-            if (c.standing == Standing::ready && !c.origin && c.zone == zone) total += c.out;
+            if (c.standing == Standing::ready && !c.origin && (c.zone == zone || zone == pooled())) total += c.out;
         }
         const int members = members_[static_cast<std::size_t>(zone)];
         const double mean = static_cast<double>(total) / members;
@@ -390,24 +397,26 @@
         return passed;
     }
 
-    // Exception: a read that missed in its own zone is first asked of the key's home, one zone the same for
-    // all nodes. One zone's memory holds a part of what all hold together, and the origin cannot make up for it.
-    int home_of(const Invocation& v, double now) {
-        if (v.what.write || !v.what.has_key || rings_.size() < 2 || v.useful - now < 4 * deployment_.tick) return -1;
-        int all = 0;
-        for (int n : members_) all += n;
-        int nth = static_cast<int>(mix(v.what.key + 1) % static_cast<std::uint64_t>(std::max(all, 1)));
-        std::size_t zone = 0;
-        while (zone + 1 < members_.size() && nth >= members_[zone]) nth -= members_[zone++];
-        const int cache = walk(v, static_cast<int>(zone), now, false);
-        if (cache < 0 || static_cast<int>(zone) == caches_[static_cast<std::size_t>(v.forwards[0].cache)].zone) return -1;
-        return v.forwards.size() == 1 ? cache : -1;
+    // Exception: a read that missed in its own zone is first asked of the key's owner on the ring of all zones.
+    // One zone's memory holds a part of what all hold together, and the origin cannot make up for it.
+    int pooled_owner(const Invocation& v, double now) {
+        if (v.what.write || !v.what.has_key || rings_.size() < 3 || v.forwards.size() != 1) return -1;
+        return v.useful - now < 4 * deployment_.tick ? -1 : walk(v, pooled(), now, false);
     }
+    int pooled() const { return static_cast<int>(rings_.size()) - 1; }
+
+    // Exception: while the own zone or the origin is strained, a share of keys, the same ones at every node
+    // with that share, uses the ring of all zones from the start.
+    bool reaches_out(const Invocation& v) const { return unit(mix(v.what.key ^ 0x5a5a)) < reach_; }
 
     // Own zone first. Exception: when each cache there is suspect, full, cold or tried, the next zone's ring.
     int choose(const Invocation& v, double now) {
-        const int zones = static_cast<int>(rings_.size());
+        const int zones = pooled();
         for (bool last_resort : {false, true}) {
+            if (reaches_out(v)) {
+                const int c = walk(v, pooled(), now, last_resort);
+                if (c >= 0) return c;
+            }
             for (int z = 0; z < zones; ++z) {
                 const int c = walk(v, (deployment_.zone + z) % zones, now, last_resort);
                 if (c >= 0) return c;
@@ -787,6 +796,8 @@
         looked_ = now;
         const int n = endings_.count(now);
         const double strained = n > 0 ? endings_.sum(now) / n : 0;
+        const bool tight = strained > kReachStrain || !queue_.empty();
+        reach_ = std::clamp(reach_ + (tight ? kReachUp : -kReachDown), 0.0, 1.0);
         pressure_ = std::clamp(pressure_ + (strained > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
         std::vector<double> parts;
         for (Share& s : tenants_) {
@@ -818,6 +829,7 @@
     int list_failures_ = 0;
     double retries_ = kRetryMost / 2;
     double pressure_ = 0;
+    double reach_ = 0;
     double looked_ = 0;
     double node_part_ = 1;
     std::map<std::uint64_t, std::vector<int>> fetches_;  // key: who waits for its fetch
