--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -278,12 +278,7 @@
         if (!v.open || v.streaming) return;
         if (ending == Ending::miss && !c.origin) {
             if (v.missed_at < 0) v.missed_at = at;
-            const int home = pooled_owner(v, now);
-            if (home >= 0) {
-                send(v, home, v.useful - now, now);
-            } else {
-                to_origin(v, now);
-            }
+            to_origin(v, now);
         } else if (v.out == 0 && v.wait == Wait::none) {
             again(v, now, c.origin);
         }
@@ -397,12 +392,6 @@
         return passed;
     }
 
-    // Exception: a read that missed in its own zone is first asked of the key's owner on the ring of all zones.
-    // One zone's memory holds a part of what all hold together, and the origin cannot make up for it.
-    int pooled_owner(const Invocation& v, double now) {
-        if (v.what.write || !v.what.has_key || rings_.size() < 3 || v.forwards.size() != 1) return -1;
-        return v.useful - now < 4 * deployment_.tick ? -1 : walk(v, pooled(), now, false);
-    }
     int pooled() const { return static_cast<int>(rings_.size()) - 1; }
 
     // Exception: while the own zone or the origin is strained, a share of keys, the same ones at every node
