Origin: limit by pace against the objective, and a pause after failures

Cause: fetches that timed out stay in the origin's queue; with no pause the queue never drained, and the old limit's best-pace measure gave one node all and the others one place.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -20,7 +20,7 @@
 constexpr int kPoints = 100;                                // points a cache; the design's figure
 constexpr std::uint64_t kRingSeed = 0x62726f6f6b72656cULL;  // the same at every node
 constexpr double kOverMean = 3.0;  // the design: at least twice; less tears keys from their copies
-constexpr int kFloor = 6;  // the design: at least two; a small floor passes over on chance alone
+constexpr int kFloor = 6;          // the design: at least two; a small floor passes over on chance alone
 
 constexpr int kSilentRun = 3;       // failures in a row that make a suspect; fewer and chance errors do
 constexpr double kSilence = 0.3;    // s without any answer, with forwards out, that make a suspect
@@ -41,8 +41,9 @@
 constexpr double kOriginStart = 4;  // forwards at the origin at first
 constexpr double kOriginLeast = 1;
 constexpr double kOriginMost = 64;
-constexpr double kOriginSlow = 2.0;  // times its best pace: it queues, so the limit falls
-constexpr std::size_t kQueueMost = 32;
+constexpr double kOriginPart = 0.5;   // its pace may take this part of the shortest latency objective
+constexpr double kOriginPause = 0.1;  // s without a forward after a failure; doubles up to kOriginPauseMost
+constexpr double kOriginPauseMost = 2.0;
 
 constexpr double kPressureStep = 0.1;   // change of pressure at each look
 constexpr double kPressureLook = 0.25;  // s between looks
@@ -50,7 +51,7 @@
 constexpr double kStrained = 0.15;      // part of strained endings from which pressure rises
 
 constexpr double kReachStrain = 0.1;  // part of strained endings from which more keys reach out
-constexpr double kReachUp = 0.1;      // change of that share at each look: out in seconds,
+constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
 constexpr double kReachDown = 0.01;   // back in half a minute, or copies would be torn again and again
 
 std::uint64_t mix(std::uint64_t x) {
@@ -166,7 +167,7 @@
     int cache;
 };
 
-enum class Timer : std::uint64_t { expiry = 1, list };
+enum class Timer : std::uint64_t { expiry = 1, list, origin };
 
 class Decisions final : public Balancer {
   public:
@@ -178,6 +179,9 @@
           tenants_(deployment.tenants.size()) {
         for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
         paces_.resize(deployment.operations.size());
+        for (const Operation& op : deployment.operations) {
+            origin_target_ = std::min(origin_target_, kOriginPart * op.latency_objective);
+        }
     }
 
     void listed(double now, ListKind kind, const std::vector<Listing>& entries) override {
@@ -303,6 +307,8 @@
         const auto kind = static_cast<Timer>(token >> 56);
         if (kind == Timer::list) {
             ask_for_list();
+        } else if (kind == Timer::origin) {
+            next_from_queue(now);
         } else if (kind == Timer::expiry) {
             Invocation& v = invs_[token & 0xffffffffU];
             if (!v.open || v.wait == Wait::none || (v.turn & 0xffffffU) != ((token >> 32) & 0xffffffU))
@@ -361,7 +367,8 @@
         if (ring.empty()) return -1;
         int total = 0;
         for (const Cache& c : caches_) {
-            if (c.standing == Standing::ready && !c.origin && (c.zone == zone || zone == pooled())) total += c.out;
+            if (c.standing == Standing::ready && !c.origin && (c.zone == zone || zone == pooled()))
+                total += c.out;
         }
         const int members = members_[static_cast<std::size_t>(zone)];
         const double mean = static_cast<double>(total) / members;
@@ -673,9 +680,9 @@
                 return;
             }
         }
-        if (origin_out_ < origin_limit_) {
+        if (origin_open(now)) {
             fetch_now(v, at, now);
-        } else if (queue_.size() < kQueueMost) {
+        } else if (origin_wait(now) < v.useful - now) {
             queue_.push_back(v.what.inv);
             wait(v, Wait::queue, now);
         } else {
@@ -683,13 +690,21 @@
         }
     }
 
+    bool origin_open(double now) const { return origin_out_ < origin_limit_ && now >= origin_pause_until_; }
+    // How long a newcomer waits and is then fetched for: one who cannot make it is told so at once.
+    double origin_wait(double now) const {
+        const double pace = std::max(origin_pace_, 0.01);
+        const double turns = static_cast<double>(queue_.size() + 1) / origin_limit_ + 1;
+        return std::max(0.0, origin_pause_until_ - now) + turns * pace;
+    }
+
     void fetch_now(Invocation& v, int at, double now) {
         ++origin_out_;
         if (!v.what.write && v.what.has_key) {
             fetches_[v.what.key];
             v.leads = true;
         }
-        send(v, at, v.useful - now, now);
+        send(v, at, v.due - now, now);  // past its use to this client, the answer still fills the cache
     }
 
     void wait(Invocation& v, Wait how, double now) {
@@ -726,7 +741,11 @@
                 to_origin(w, now);
             }
         }
-        while (origin_out_ < origin_limit_ && !queue_.empty()) {
+        next_from_queue(now);
+    }
+
+    void next_from_queue(double now) {
+        while (origin_open(now) && !queue_.empty()) {
             // The most billed value first, then whoever has the least time left.
             const auto next = std::min_element(queue_.begin(), queue_.end(), [this](int a, int b) {
                 const Invocation& x = invs_[static_cast<std::size_t>(a)];
@@ -742,25 +761,32 @@
         }
     }
 
-    // Its capacity is never told: the limit grows while answers come at the best pace, falls when they queue.
+    // Its capacity is never told: the limit grows while answers keep a pace that leaves the objective in
+    // reach. Failures also bring a pause: what timed out is still in its queue, and only a pause lets that
+    // drain.
     void adapt_origin(Ending ending, double took, double now) {
         if (ending == Ending::succeeded) {
             origin_pace_ = origin_pace_ == 0 ? took : origin_pace_ + (took - origin_pace_) / 8;
-            origin_best_ = origin_best_ == 0 ? origin_pace_ : std::min(origin_pace_, origin_best_ * 1.002);
-            if (origin_pace_ < kOriginSlow * origin_best_) {
-                if (origin_out_ + 1 >= origin_limit_ - 1) {
-                    origin_limit_ = std::min(origin_limit_ + 1 / origin_limit_, kOriginMost);
-                }
-                return;
+            origin_pause_ = kOriginPause;
+            if (origin_pace_ > origin_target_) {
+                cut_origin(0.8, now);
+            } else if (origin_out_ + 2 >= origin_limit_) {
+                origin_limit_ = std::min(origin_limit_ + 1 / origin_limit_, kOriginMost);
+            }
+        } else if (ending != Ending::cancelled && ending != Ending::not_sent && ending != Ending::errored) {
+            cut_origin(0.5, now);
+            if (now >= origin_pause_until_) {
+                origin_pause_until_ = now + origin_pause_ * (0.75 + 0.5 * draw());
+                origin_pause_ = std::min(2 * origin_pause_, kOriginPauseMost);
+                host_.wake(origin_pause_until_ - now, token(Timer::origin, 0, 0));
             }
-        } else if (ending == Ending::cancelled || ending == Ending::not_sent || ending == Ending::errored) {
-            return;
-        }
-        if (now - origin_cut_ > std::max(origin_pace_, 0.1)) {
-            origin_cut_ = now;
-            origin_limit_ = std::max(kOriginLeast, origin_limit_ * 0.8);
         }
     }
+    void cut_origin(double to, double now) {
+        if (now - origin_cut_ < std::max(origin_pace_, 0.05)) return;
+        origin_cut_ = now;
+        origin_limit_ = std::max(kOriginLeast, origin_limit_ * to);
+    }
 
     // ---- shares, and pressure ------------------------------------------------------------------------
 
@@ -825,7 +851,9 @@
     std::vector<int> queue_;                             // who waits for a place at the origin
     double origin_limit_ = kOriginStart;
     double origin_pace_ = 0;
-    double origin_best_ = 0;
+    double origin_target_ = 1;
+    double origin_pause_ = kOriginPause;
+    double origin_pause_until_ = 0;
     double origin_cut_ = 0;
     int origin_out_ = 0;
 };
