--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -28,7 +28,6 @@
 constexpr int kSlowCount = 5;       // answers needed before slowness is believed
 constexpr double kTrialGap = 0.5;   // s to the first trial of a suspect; doubles up to kTrialGapMost
 constexpr double kTrialGapMost = 2.0;
-constexpr double kFullPause = 0.1;  // s a cache that answered `busy` is passed over
 
 constexpr double kFirstPart = 0.6;   // part of the time left that a forward may use when another can follow
 constexpr double kLeastPart = 0.25;  // and at least this part, or congestion alone would end it
@@ -38,12 +37,16 @@
 constexpr double kColdSafety = 0.8;  // part of the guaranteed warm-up that is used
 constexpr double kColdBudget = 0.6;  // part of this node's even share of rule 4's budget that is used
 
-constexpr double kOriginStart = 4;  // forwards at the origin at first
-constexpr double kOriginLeast = 1;
-constexpr double kOriginMost = 64;
-constexpr double kOriginPart = 0.5;   // its pace may take this part of the shortest latency objective
-constexpr double kOriginPause = 0.1;  // s without a forward after a failure; doubles up to kOriginPauseMost
+constexpr double kOriginStart = 4;  // forwards at the origin at first: little, it is shared and slow
+constexpr double kCacheStart = 16;  // and at a cache; both settle within seconds
+constexpr double kGentleCut = 0.8;  // of the limit left when answers turn slow
+constexpr double kHardCut = 0.5;    // and when forwards fail
+constexpr double kLimitLeast = 1;
+constexpr double kLimitMost = 64;
+constexpr double kPause = 0.1;  // s without a forward after a failure at the least limit; doubles
 constexpr double kOriginPauseMost = 2.0;
+constexpr double kCachePauseMost = 0.5;  // shorter: its queue is short, and each key has few other caches
+constexpr double kOriginPart = 0.5;      // the origin's pace may take this part of the shortest objective
 
 constexpr double kPressureStep = 0.1;   // change of pressure at each look
 constexpr double kPressureLook = 0.25;  // s between looks
@@ -71,6 +74,8 @@
 
 double unit(std::uint64_t x) { return static_cast<double>(x >> 11) * 0x1.0p-53; }
 
+constexpr double kPaceSpan = 4.0;
+
 // Sums over the last few seconds, in eight buckets of time used again in a ring.
 class Meter {
   public:
@@ -93,6 +98,7 @@
         for (int c : count_) total += c;
         return total;
     }
+    void span(double span) { width_ = std::max(span, 0.1) / kBuckets; }
     void clear() {
         sum_.fill(0);
         count_.fill(0);
@@ -117,6 +123,33 @@
     std::int64_t turn_ = 0;
 };
 
+// How much one server is trusted with at a time. Nobody tells its capacity: the limit grows by one a round
+// while answers are quick, falls at failures, and at the least limit failures bring a pause, because what
+// timed out or was rejected still costs the server work, and only a pause lets that drain.
+struct Gate {
+    double limit = 1;
+    double pause = kPause;
+    double pause_until = 0;
+    double cut_at = 0;
+
+    bool open(int out, double now) const { return out < limit && now >= pause_until; }
+    void grow(int out) {
+        pause = kPause;
+        if (out + 2 >= limit) limit = std::min(limit + 1 / limit, kLimitMost);
+    }
+    void cut(double to, double apart, double now) {
+        if (now - cut_at < apart) return;
+        cut_at = now;
+        limit = std::max(kLimitLeast, limit * to);
+    }
+    bool rest(double spread, double most, double now) {
+        if (now < pause_until) return false;
+        pause_until = now + pause * (0.75 + 0.5 * spread);
+        pause = std::min(2 * pause, most);
+        return true;
+    }
+};
+
 struct Cache {
     std::uint64_t hash = 0;
     int zone = 0;
@@ -131,9 +164,9 @@
     bool silent = false;  // suspected for silence, not for slowness
     double next_trial = 0;
     double trial_gap = kTrialGap;
-    double full_until = 0;
-    Meter pace;  // seconds its answers took
-    Meter cold_sent{2.0};
+    Gate gate{kCacheStart};
+    Meter pace{kPaceSpan};  // seconds its answers took
+    Meter cold_sent;
     unsigned seen = 0;
 };
 
@@ -201,6 +234,7 @@
                 c.out = out;
                 c.cold_since = start;
             }
+            c.cold_sent.span(deployment_.fall_time);
             c.hash = hash_name(e.name);
             c.zone = std::clamp(e.zone, 0, pooled() - 1);
             c.cell = e.cell;
@@ -389,7 +423,7 @@
             if (!welcome_cold(c, v, now)) continue;
             if (last_resort) return p->cache;
             if (!healthy(c, now) && !trial_due(c, v, now)) continue;
-            if (now < c.full_until) continue;
+            if (!c.gate.open(c.out, now)) continue;
             if (c.out > kFloor && c.out > kOverMean * mean) {
                 if (passed < 0) passed = p->cache;
                 continue;
@@ -471,10 +505,22 @@
         const double warm = warmth(c, now);
         if (warm >= 1) return true;
         if (unit(mix(v.what.key * 3 ^ c.hash)) >= warm) return false;
-        const int warm_caches = std::max<int>(1, members_[static_cast<std::size_t>(c.zone)]);
-        const double normal = sent_.sum(now) / kSentSpan / warm_caches;  // this node's rate to a cache
-        const double budget = kColdBudget * deployment_.fall_multiple * warm * std::max(normal, 0.5) * 2.0;
-        return c.cold_sent.sum(now) + 1 <= std::max(budget, 1.0);
+        // What warm caches answer, not what they are sent: an overloaded fleet rejects most of that.
+        const double capacity = answered_by_warm(now);
+        return c.cold_sent.count(now) <
+               std::max(kColdBudget * deployment_.fall_multiple * warm * capacity, 1.0);
+    }
+    // Answers to this node in one fall time of a warm cache, on average: this node's part of its capacity.
+    double answered_by_warm(double now) {
+        int answers = 0;
+        int caches = 0;
+        for (Cache& c : caches_) {
+            if (c.origin || c.standing != Standing::ready || warmth(c, now) < 1 || c.pace.count(now) == 0)
+                continue;
+            answers += c.pace.count(now);
+            ++caches;
+        }
+        return caches == 0 ? 0 : deployment_.fall_time * answers / caches / kPaceSpan;
     }
 
     // ---- health --------------------------------------------------------------------------------------
@@ -523,6 +569,11 @@
                     pace.add(now, took);
                 }
                 if (c.origin) return;
+                if (took > kStrainPart * op.latency_objective) {
+                    c.gate.cut(kGentleCut, took, now);
+                } else {
+                    c.gate.grow(c.out);
+                }
                 if (c.suspect) {
                     if (c.silent || took < kSlowTimes * usual_pace(now)) {
                         if (c.silent)
@@ -540,7 +591,7 @@
             case Ending::busy:
                 c.failures = 0;
                 c.unanswered = c.out > 0 ? now : 0;
-                c.full_until = now + kFullPause;
+                strained(c, now);
                 break;
             case Ending::errored:
                 c.unanswered = c.out > 0 ? now : 0;
@@ -549,7 +600,9 @@
             case Ending::refused:
             case Ending::reset:
                 if (c.unanswered >= 0 && f.sent < c.unanswered) c.unanswered = f.sent;
-                if (++c.failures >= kSilentRun && !c.origin) suspect(c, true, now);
+                if (c.origin) return;
+                strained(c, now);
+                if (++c.failures >= kSilentRun) suspect(c, true, now);
                 break;
             case Ending::cancelled:
             case Ending::not_sent:
@@ -558,6 +611,12 @@
         if (c.out == 0) c.unanswered = 0;
     }
 
+    void strained(Cache& c, double now) {
+        if (c.origin) return;
+        if (c.gate.limit <= kLimitLeast) c.gate.rest(draw(), kCachePauseMost, now);
+        c.gate.cut(kHardCut, kPause, now);
+    }
+
     // The median of the caches' paces: one that a few slow ones cannot drag along.
     double usual_pace(double now) {
         std::vector<double> paces;
@@ -580,7 +639,6 @@
         ++c.out;
         if (c.unanswered == 0) c.unanswered = now;
         if (!c.origin) {
-            sent_.add(now, 1);
             c.cold_sent.add(now, 1);
         }
         host_.forward(v.what.inv, cache, limit);
@@ -690,12 +748,12 @@
         }
     }
 
-    bool origin_open(double now) const { return origin_out_ < origin_limit_ && now >= origin_pause_until_; }
+    bool origin_open(double now) const { return origin_gate_.open(origin_out_, now); }
     // How long a newcomer waits and is then fetched for: one who cannot make it is told so at once.
     double origin_wait(double now) const {
         const double pace = std::max(origin_pace_, 0.01);
-        const double turns = static_cast<double>(queue_.size() + 1) / origin_limit_ + 1;
-        return std::max(0.0, origin_pause_until_ - now) + turns * pace;
+        const double turns = static_cast<double>(queue_.size() + 1) / origin_gate_.limit + 1;
+        return std::max(0.0, origin_gate_.pause_until - now) + turns * pace;
     }
 
     void fetch_now(Invocation& v, int at, double now) {
@@ -761,32 +819,21 @@
         }
     }
 
-    // Its capacity is never told: the limit grows while answers keep a pace that leaves the objective in
-    // reach. Failures also bring a pause: what timed out is still in its queue, and only a pause lets that
-    // drain.
     void adapt_origin(Ending ending, double took, double now) {
         if (ending == Ending::succeeded) {
             origin_pace_ = origin_pace_ == 0 ? took : origin_pace_ + (took - origin_pace_) / 8;
-            origin_pause_ = kOriginPause;
             if (origin_pace_ > origin_target_) {
-                cut_origin(0.8, now);
-            } else if (origin_out_ + 2 >= origin_limit_) {
-                origin_limit_ = std::min(origin_limit_ + 1 / origin_limit_, kOriginMost);
+                origin_gate_.cut(kGentleCut, std::max(origin_pace_, 0.05), now);
+            } else {
+                origin_gate_.grow(origin_out_);
             }
         } else if (ending != Ending::cancelled && ending != Ending::not_sent && ending != Ending::errored) {
-            cut_origin(0.5, now);
-            if (now >= origin_pause_until_) {
-                origin_pause_until_ = now + origin_pause_ * (0.75 + 0.5 * draw());
-                origin_pause_ = std::min(2 * origin_pause_, kOriginPauseMost);
-                host_.wake(origin_pause_until_ - now, token(Timer::origin, 0, 0));
+            origin_gate_.cut(kHardCut, std::max(origin_pace_, 0.05), now);
+            if (origin_gate_.rest(draw(), kOriginPauseMost, now)) {
+                host_.wake(origin_gate_.pause_until - now, token(Timer::origin, 0, 0));
             }
         }
     }
-    void cut_origin(double to, double now) {
-        if (now - origin_cut_ < std::max(origin_pace_, 0.05)) return;
-        origin_cut_ = now;
-        origin_limit_ = std::max(kOriginLeast, origin_limit_ * to);
-    }
 
     // ---- shares, and pressure ------------------------------------------------------------------------
 
@@ -826,8 +873,6 @@
         }
     }
 
-    static constexpr double kSentSpan = 4.0;
-
     const Deployment deployment_;
     Host& host_;
     std::ranlux24_base chance_;
@@ -837,7 +882,6 @@
     std::vector<Invocation> invs_;
     std::vector<Share> tenants_;
     std::vector<Meter> paces_;  // a row an operation: seconds its successes took
-    Meter sent_{kSentSpan};
     Meter endings_{1.0};
     unsigned list_turn_ = 0;
     unsigned walk_turn_ = 1U << 31;
@@ -849,12 +893,9 @@
     double node_part_ = 1;
     std::map<std::uint64_t, std::vector<int>> fetches_;  // key: who waits for its fetch
     std::vector<int> queue_;                             // who waits for a place at the origin
-    double origin_limit_ = kOriginStart;
+    Gate origin_gate_{kOriginStart};
     double origin_pace_ = 0;
     double origin_target_ = 1;
-    double origin_pause_ = kOriginPause;
-    double origin_pause_until_ = 0;
-    double origin_cut_ = 0;
     int origin_out_ = 0;
 };
 
