A closed gate binds as a last resort too; slow answers at the least limit bring a pause

Cause: with ten or more nodes one forward each is already too much for a small cache, and the last resort went round the gates.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -421,9 +421,9 @@
             if (!may_forward(v, p->cache, now)) continue;
             if (!last_resort && tried(v, p->cache)) continue;
             if (!welcome_cold(c, v, now)) continue;
+            if (!c.gate.open(c.out, now)) continue;
             if (last_resort) return p->cache;
             if (!healthy(c, now) && !trial_due(c, v, now)) continue;
-            if (!c.gate.open(c.out, now)) continue;
             if (c.out > kFloor && c.out > kOverMean * mean) {
                 if (passed < 0) passed = p->cache;
                 continue;
@@ -570,6 +570,8 @@
                 }
                 if (c.origin) return;
                 if (took > kStrainPart * op.latency_objective) {
+                    // With many nodes, one forward from each may already be too much.
+                    if (c.gate.limit <= kLimitLeast) c.gate.rest(draw(), kCachePauseMost, now);
                     c.gate.cut(kGentleCut, took, now);
                 } else {
                     c.gate.grow(c.out);
