--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -27,6 +27,7 @@
 constexpr double kSlowTimes = 3.0;  // times its peers' pace; below this, machine kinds alone reach it
 constexpr int kSlowCount = 5;       // answers needed before slowness is believed
 constexpr double kTrialGap = 0.5;   // s to the first trial of a suspect; doubles up to kTrialGapMost
+constexpr double kRestart = 3.0;    // s of silence that may hide a restart; less is a jam
 constexpr double kTrialGapMost = 2.0;
 
 constexpr double kFirstPart = 0.6;   // part of the time left that a forward may use when another can follow
@@ -162,6 +163,7 @@
     int failures = 0;          // in a row
     bool suspect = false;
     bool silent = false;  // suspected for silence, not for slowness
+    double suspect_since = 0;
     double next_trial = 0;
     double trial_gap = kTrialGap;
     Gate gate{kCacheStart};
@@ -535,7 +537,10 @@
     }
 
     void suspect(Cache& c, bool silent, double now) {
-        if (!c.suspect) c.trial_gap = kTrialGap;
+        if (!c.suspect) {
+            c.trial_gap = kTrialGap;
+            c.suspect_since = now;
+        }
         c.suspect = true;
         c.silent = c.silent || silent;
         c.next_trial = now + c.trial_gap * (0.75 + 0.5 * draw());
@@ -578,8 +583,9 @@
                 }
                 if (c.suspect) {
                     if (c.silent || took < kSlowTimes * usual_pace(now)) {
-                        if (c.silent)
-                            c.cold_since = std::max(c.cold_since, now);  // it may have come back empty
+                        // Silent for long, it may have restarted: cold until the list says otherwise.
+                        if (c.silent && now - c.suspect_since > kRestart)
+                            c.cold_since = std::max(c.cold_since, now);
                         c.suspect = c.silent = false;
                         c.pace.clear();
                     } else {
