Origin queue by what an answer still earns: in time before late, within share first

Cause: the queue served whoever had least time left, who were often late already, and an over-share tenant's reads before others'.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -194,6 +194,7 @@
     Wait wait = Wait::none;
     bool streaming = false;
     bool leads = false;
+    bool over_share = false;
     std::uint32_t turn = 0;  // tells a timer's invocation from a later one in the same place
 };
 
@@ -284,7 +285,8 @@
         ++v.turn;
         retries_ = std::min(retries_ + kRetryPart, kRetryMost);
         look(now);
-        if (over_share(v, now) && draw() < pressure_) {
+        v.over_share = over_share(v, now);
+        if (v.over_share && draw() < pressure_) {
             close(v, now);
             return;
         }
@@ -810,14 +812,21 @@
         next_from_queue(now);
     }
 
+    double still_earns(const Invocation& v, double now) const {
+        const Operation& op = operation(v);
+        const bool late = now + origin_pace_ > v.arrived + op.latency_objective;
+        return op.billed_value * (late ? op.tardy_part : 1) *
+               (v.over_share ? deployment_.beyond_share_part : 1);
+    }
+
     void next_from_queue(double now) {
         while (origin_open(now) && !queue_.empty()) {
-            // The most billed value first, then whoever has the least time left.
-            const auto next = std::min_element(queue_.begin(), queue_.end(), [this](int a, int b) {
+            // What an answer would still earn first, then whoever has the least time left.
+            const auto next = std::min_element(queue_.begin(), queue_.end(), [this, now](int a, int b) {
                 const Invocation& x = invs_[static_cast<std::size_t>(a)];
                 const Invocation& y = invs_[static_cast<std::size_t>(b)];
-                const double vx = operation(x).billed_value;
-                const double vy = operation(y).billed_value;
+                const double vx = still_earns(x, now);
+                const double vy = still_earns(y, now);
                 return vx != vy ? vx > vy : x.useful < y.useful;
             });
             Invocation& w = invs_[static_cast<std::size_t>(*next)];
--- a/src/sim/adapter.cpp
+++ b/src/sim/adapter.cpp
@@ -141,6 +141,7 @@
             d.origin_kind = small(*facts, "origin_kind", -1);
         d.origin_fall_multiple = number(*facts, "origin_fall_multiple", 0);
     }
+    d.beyond_share_part = number(info, "beyond_share_billed_value", 1);
     const Value& operations = need(info, "operations");
     if (!operations.IsArray()) throw BadInput("field 'operations' is not a list");
     for (const Value& o : operations.GetArray()) {
