Cache pauses up to 2 s

Cause: eighteen nodes with one forward each, paused half a second at most, keep a one-core cache at two seconds of queue.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -46,7 +46,7 @@
 constexpr double kLimitMost = 64;
 constexpr double kPause = 0.1;  // s without a forward after a failure at the least limit; doubles
 constexpr double kOriginPauseMost = 2.0;
-constexpr double kCachePauseMost = 0.5;  // shorter: its queue is short, and each key has few other caches
+constexpr double kCachePauseMost = 2.0;  // shorter: its queue is short, and each key has few other caches
 constexpr double kOriginPart = 0.5;      // the origin's pace may take this part of the shortest objective
 
 constexpr double kPressureStep = 0.1;   // change of pressure at each look
