--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -30,8 +30,8 @@
 constexpr double kRestart = 3.0;    // s of silence that may hide a restart; less is a jam
 constexpr double kTrialGapMost = 2.0;
 
-constexpr double kFirstPart = 0.6;   // part of the time left that a forward may use when another can follow
-constexpr double kLeastPart = 0.25;  // and at least this part, or congestion alone would end it
+constexpr double kFirstPart = 0.85;  // part of the time left that a forward may use when another can follow
+constexpr double kLeastPart = 0.7;   // and at least this part, or congestion alone would end it
 constexpr double kRetryPart = 0.2;   // further forwards earned by each invocation
 constexpr double kRetryMost = 20;    // and saved at the most: one short outage, not a storm
 
