--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -30,10 +30,8 @@
 constexpr double kRestart = 3.0;    // s of silence that may hide a restart; less is a jam
 constexpr double kTrialGapMost = 2.0;
 
-constexpr double kFirstPart = 0.85;  // part of the time left that a forward may use when another can follow
-constexpr double kLeastPart = 0.7;   // and at least this part, or congestion alone would end it
-constexpr double kRetryPart = 0.2;   // further forwards earned by each invocation
-constexpr double kRetryMost = 20;    // and saved at the most: one short outage, not a storm
+constexpr double kRetryPart = 0.2;  // further forwards earned by each invocation
+constexpr double kRetryMost = 20;   // and saved at the most: one short outage, not a storm
 
 constexpr double kColdSafety = 0.8;  // part of the guaranteed warm-up that is used
 constexpr double kColdBudget = 0.6;  // part of this node's even share of rule 4's budget that is used
@@ -214,7 +212,7 @@
           rings_(static_cast<std::size_t>(std::max(1, deployment.zones)) + 1),
           tenants_(deployment.tenants.size()) {
         for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
-        paces_.resize(deployment.operations.size());
+
         for (const Operation& op : deployment.operations) {
             origin_target_ = std::min(origin_target_, kOriginPart * op.latency_objective);
         }
@@ -571,10 +569,7 @@
                 c.failures = 0;
                 c.unanswered = c.out > 0 ? now : 0;
                 c.pace.add(now, took);
-                if (ending == Ending::succeeded && !c.origin) {
-                    Meter& pace = paces_[static_cast<std::size_t>(v.what.operation)];
-                    pace.add(now, took);
-                }
+
                 if (c.origin) return;
                 if (took > kStrainPart * op.latency_objective) {
                     // With many nodes, one forward from each may already be too much.
@@ -665,16 +660,7 @@
             return;
         }
         const double left = v.useful - now;
-        double limit = left;
-        const bool another = operation(v).repeat != Repeat::non_idempotent &&
-                             static_cast<int>(v.forwards.size()) + 1 < deployment_.most_forwards;
-        if (another) {
-            Meter& pace = paces_[static_cast<std::size_t>(v.what.operation)];
-            const int n = pace.count(now);
-            const double usual = n > 0 ? pace.sum(now) / n : left;
-            limit = std::clamp(4 * usual, kLeastPart * left, kFirstPart * left);
-        }
-        send(v, cache, limit, now);
+        send(v, cache, left, now);
     }
     bool members_none() const {
         return std::all_of(members_.begin(), members_.end(), [](int n) { return n == 0; });
@@ -898,7 +884,7 @@
     std::vector<int> members_;
     std::vector<Invocation> invs_;
     std::vector<Share> tenants_;
-    std::vector<Meter> paces_;  // a row an operation: seconds its successes took
+
     Meter endings_{1.0};
     unsigned list_turn_ = 0;
     unsigned walk_turn_ = 1U << 31;
