--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -542,11 +542,23 @@
             c.suspect_since = now;
         }
         c.suspect = true;
+        if (silent && !c.silent) call_back(static_cast<int>(&c - caches_.data()), now);
         c.silent = c.silent || silent;
         c.next_trial = now + c.trial_gap * (0.75 + 0.5 * draw());
         c.trial_gap = std::min(2 * c.trial_gap, kTrialGapMost);
     }
 
+    // What a silent cache holds would wait out its time there; called back, it goes on to another cache.
+    void call_back(int cache, double now) {
+        if (!deployment_.may_cancel) return;
+        for (Invocation& v : invs_) {
+            if (!v.open || v.streaming || v.out != 1 || v.forwards.back().cache != cache) continue;
+            const Repeat repeat = operation(v).repeat;
+            if (repeat != Repeat::idempotent || now - v.forwards.back().sent < kSilence) continue;
+            host_.cancel(v.what.inv, static_cast<int>(v.forwards.size()) - 1);
+        }
+    }
+
     // A suspect gets one invocation now and then, only one that may be forwarded again.
     bool trial_due(Cache& c, const Invocation& v, double now) {
         if (now < c.next_trial || operation(v).repeat != Repeat::idempotent || !v.forwards.empty())
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -23,6 +23,20 @@
     assert(back);
 }
 
+void what_a_silent_cache_holds_is_called_back() {
+    Fleet fleet(4);
+    fleet.start();
+    const int owner = fleet.owner(77);
+    const int held = fleet.arrive(77);
+    const int other = fleet.arrive(77, 2);  // non-idempotent: it may have run, so it stays
+    fleet.now += 0.5;
+    assert(fleet.owner(77) != owner);
+    assert(fleet.host.cancelled == std::vector<int>{held});
+    fleet.end(held, 0, Ending::cancelled);
+    assert(fleet.host.sent.back().inv == held && fleet.host.sent.back().cache != owner);
+    assert(fleet.finals(other) == 0);
+}
+
 void misses_of_one_key_share_a_fetch() {
     Fleet fleet(4);
     fleet.start();
@@ -52,6 +66,7 @@
 
 int main() {
     a_silent_cache_is_passed_over_and_let_back_by_a_trial();
+    what_a_silent_cache_holds_is_called_back();
     misses_of_one_key_share_a_fetch();
     the_list_is_asked_for_again_after_a_failure();
 }
