--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -52,7 +52,7 @@
 constexpr double kStrainPart = 0.35;    // a forward slower than this part of its objective is a strain
 constexpr double kStrained = 0.15;      // part of strained endings from which pressure rises
 
-constexpr double kReachStrain = 0.1;  // part of strained endings from which more keys reach out
+constexpr double kReachStrain = 0.2;  // part of strained endings from which more keys reach out
 constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
 constexpr double kReachDown = 0.01;   // back in half a minute, or copies would be torn again and again
 
