--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -37,6 +37,8 @@
 constexpr double kColdBudget = 0.6;  // part of this node's even share of rule 4's budget that is used
 
 constexpr double kOriginStart = 4;  // forwards at the origin at first: little, it is shared and slow
+constexpr int kDisplaced = 1;       // closed gates that a key passes before it is throttled
+constexpr int kJammed = -2;         // no cache, for load alone
 constexpr double kCacheStart = 16;  // and at a cache; both settle within seconds
 constexpr double kGentleCut = 0.8;  // of the limit left when answers turn slow
 constexpr double kHardCut = 0.5;    // and when forwards fail
@@ -413,6 +415,7 @@
                                   [](const Point& x, std::uint64_t key) { return x.at < key; });
         ++walk_turn_;
         int passed = -1;
+        int jammed = 0;
         int seen = 0;
         for (std::size_t steps = 0; steps < ring.size() && seen < members; ++steps, ++p) {
             if (p == ring.end()) p = ring.begin();
@@ -423,9 +426,14 @@
             if (!may_forward(v, p->cache, now)) continue;
             if (!last_resort && tried(v, p->cache)) continue;
             if (!welcome_cold(c, v, now)) continue;
-            if (!c.gate.open(c.out, now)) continue;
+            if (!last_resort && !healthy(c, now) && !trial_due(c, v, now)) continue;
+            if (!c.gate.open(c.out, now)) {
+                // Further round, a cache lacks the key: the forward would only miss, and push out what it
+                // holds.
+                if (++jammed > kDisplaced) return passed >= 0 ? passed : kJammed;
+                continue;
+            }
             if (last_resort) return p->cache;
-            if (!healthy(c, now) && !trial_due(c, v, now)) continue;
             if (c.out > kFloor && c.out > kOverMean * mean) {
                 if (passed < 0) passed = p->cache;
                 continue;
@@ -447,11 +455,11 @@
         for (bool last_resort : {false, true}) {
             if (reaches_out(v)) {
                 const int c = walk(v, pooled(), now, last_resort);
-                if (c >= 0) return c;
+                if (c != -1) return c;
             }
             for (int z = 0; z < zones; ++z) {
                 const int c = walk(v, (deployment_.zone + z) % zones, now, last_resort);
-                if (c >= 0) return c;
+                if (c != -1) return c;
             }
         }
         return -1;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -1,4 +1,6 @@
 // Each case is a trouble met on the bench, played on the module alone.
+#include <algorithm>
+
 #include "host.h"
 
 using namespace brookrelay;
@@ -37,6 +39,32 @@
     assert(fleet.finals(other) == 0);
 }
 
+void load_displaces_a_key_by_one_cache_then_throttles() {
+    Fleet fleet(6);
+    fleet.deployment.most_forwards = 1;
+    fleet.start();
+    std::vector<int> used;
+    for (int round = 0; round < 12; ++round) {
+        // Each cache that takes the key answers full until its gate pauses.
+        fleet.now += 0.01;
+        const std::size_t before = fleet.host.sent.size();
+        const int inv = fleet.arrive(5);
+        if (fleet.host.sent.size() == before) {
+            assert(fleet.finals(inv) == 1);
+            continue;
+        }
+        const int at = fleet.host.sent.back().cache;
+        if (std::find(used.begin(), used.end(), at) == used.end()) used.push_back(at);
+        for (int n = 0; n < 6; ++n) {
+            fleet.now += 0.11;
+            const int more = fleet.arrive(5);
+            if (fleet.finals(more) == 0) fleet.end(more, 0, Ending::busy);
+        }
+        fleet.end(inv, 0, Ending::busy);
+    }
+    assert(!used.empty() && used.size() <= 2);
+}
+
 void misses_of_one_key_share_a_fetch() {
     Fleet fleet(4);
     fleet.start();
@@ -67,6 +95,7 @@
 int main() {
     a_silent_cache_is_passed_over_and_let_back_by_a_trial();
     what_a_silent_cache_holds_is_called_back();
+    load_displaces_a_key_by_one_cache_then_throttles();
     misses_of_one_key_share_a_fetch();
     the_list_is_asked_for_again_after_a_failure();
 }
