A gate is cut from twice what is out, not from a limit never reached

Cause: limits start at 16 and fall by a fifth a round; a jam of two-second answers took half a minute to close them.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -138,10 +138,11 @@
         pause = kPause;
         if (out + 2 >= limit) limit = std::min(limit + 1 / limit, kLimitMost);
     }
-    void cut(double to, double apart, double now) {
+    // From what is out: a limit never reached says nothing of what the server bears.
+    void cut(double to, double apart, int out, double now) {
         if (now - cut_at < apart) return;
         cut_at = now;
-        limit = std::max(kLimitLeast, limit * to);
+        limit = std::max(kLimitLeast, std::min(limit, 2.0 * out + 2) * to);
     }
     bool rest(double spread, double most, double now) {
         if (now < pause_until) return false;
@@ -594,7 +595,7 @@
                 if (took > kStrainPart * op.latency_objective) {
                     // With many nodes, one forward from each may already be too much.
                     if (c.gate.limit <= kLimitLeast) c.gate.rest(draw(), kCachePauseMost, now);
-                    c.gate.cut(kGentleCut, took, now);
+                    c.gate.cut(kGentleCut, took, c.out, now);
                 } else {
                     c.gate.grow(c.out);
                 }
@@ -639,7 +640,7 @@
     void strained(Cache& c, double now) {
         if (c.origin) return;
         if (c.gate.limit <= kLimitLeast) c.gate.rest(draw(), kCachePauseMost, now);
-        c.gate.cut(kHardCut, kPause, now);
+        c.gate.cut(kHardCut, kPause, c.out, now);
     }
 
     // The median of the caches' paces: one that a few slow ones cannot drag along.
@@ -846,12 +847,12 @@
         if (ending == Ending::succeeded) {
             origin_pace_ = origin_pace_ == 0 ? took : origin_pace_ + (took - origin_pace_) / 8;
             if (origin_pace_ > origin_target_) {
-                origin_gate_.cut(kGentleCut, std::max(origin_pace_, 0.05), now);
+                origin_gate_.cut(kGentleCut, std::max(origin_pace_, 0.05), origin_out_, now);
             } else {
                 origin_gate_.grow(origin_out_);
             }
         } else if (ending != Ending::cancelled && ending != Ending::not_sent && ending != Ending::errored) {
-            origin_gate_.cut(kHardCut, std::max(origin_pace_, 0.05), now);
+            origin_gate_.cut(kHardCut, std::max(origin_pace_, 0.05), origin_out_, now);
             if (origin_gate_.rest(draw(), kOriginPauseMost, now)) {
                 host_.wake(origin_gate_.pause_until - now, token(Timer::origin, 0, 0));
             }
