--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -11,11 +11,14 @@
     Fleet fleet(4);
     fleet.start();
     const int owner = fleet.owner(77);
-    for (int n = 0; n < 3; ++n) {
+    for (int failures = 0; failures < 3;) {
         const int inv = fleet.arrive(77);
         fleet.now += 0.4;
-        if (fleet.host.sent.back().cache == owner) fleet.end(inv, 0, Ending::timed_out, 0.4);
+        if (fleet.host.sent.back().inv != inv || fleet.host.sent.back().cache != owner) continue;
+        fleet.end(inv, 0, Ending::timed_out, 0.4);
+        ++failures;
     }
+    fleet.now += 0.3;  // its gate's pause is over, so only suspicion keeps it out
     assert(fleet.owner(77) != owner);
     bool back = false;
     for (int n = 0; n < 50; ++n) {
