--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -187,8 +187,9 @@
     bool open = false;
     Arrival what;
     double arrived = 0;
-    double due = 0;     // when its client stops waiting
-    double useful = 0;  // when an answer stops earning
+    double due = 0;      // when its client stops waiting
+    double in_time = 0;  // until when an answer meets the objective
+    double useful = 0;   // when an answer stops earning
     std::vector<Forward> forwards;
     int out = 0;
     int missed_at = -1;
@@ -216,6 +217,7 @@
           tenants_(deployment.tenants.size()) {
         for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
 
+        first_time_left_.resize(deployment.operations.size());
         for (const Operation& op : deployment.operations) {
             origin_target_ = std::min(origin_target_, kOriginPart * op.latency_objective);
         }
@@ -277,7 +279,8 @@
         const Operation& op = operation(v);
         v.arrived = now;
         v.due = now + a.time_left;
-        v.useful = op.tardy_part > 0 ? v.due : std::min(v.due, now + op.latency_objective);
+        v.in_time = now + op.latency_objective - spent_before(a, op);
+        v.useful = op.tardy_part > 0 ? v.due : std::min(v.due, v.in_time);
         v.forwards.clear();
         v.out = 0;
         v.missed_at = -1;
@@ -287,7 +290,7 @@
         retries_ = std::min(retries_ + kRetryPart, kRetryMost);
         look(now);
         v.over_share = over_share(v, now);
-        if (v.over_share && draw() < pressure_) {
+        if ((v.over_share && draw() < pressure_) || v.useful - now <= 2 * deployment_.tick) {
             close(v, now);
             return;
         }
@@ -365,6 +368,15 @@
         Meter arrivals;
     };
 
+    // A repeat's objective has run since its client's first try. A client's last try waits until the client
+    // timeout and so tells when that was; a repeat with as much time as a first try tells nothing.
+    double spent_before(const Arrival& a, const Operation& op) {
+        double& first = first_time_left_[static_cast<std::size_t>(a.operation)];
+        if (!a.repeat) first = a.time_left;
+        if (!a.repeat || first == 0 || std::abs(a.time_left - first) < 2 * deployment_.tick) return 0;
+        return std::max(0.0, op.client_timeout - a.time_left);
+    }
+
     const Operation& operation(const Invocation& v) const {
         return deployment_.operations[static_cast<std::size_t>(v.what.operation)];
     }
@@ -821,7 +833,7 @@
 
     double still_earns(const Invocation& v, double now) const {
         const Operation& op = operation(v);
-        const bool late = now + origin_pace_ > v.arrived + op.latency_objective;
+        const bool late = now + origin_pace_ > v.in_time;
         return op.billed_value * (late ? op.tardy_part : 1) *
                (v.over_share ? deployment_.beyond_share_part : 1);
     }
@@ -906,6 +918,7 @@
     std::vector<Invocation> invs_;
     std::vector<Share> tenants_;
 
+    std::vector<double> first_time_left_;  // a row an operation: time left of the latest unmarked try
     Meter endings_{1.0};
     unsigned list_turn_ = 0;
     unsigned walk_turn_ = 1U << 31;
--- a/src/decision/balancer.h
+++ b/src/decision/balancer.h
@@ -76,6 +76,7 @@
     int operation = 0;
     int tenant = -1;
     bool write = false;
+    bool repeat = false;  // the client says that it has asked before; not every client does
     bool has_key = false;
     std::uint64_t key = 0;
     double time_left = 0;
--- a/src/sim/adapter.cpp
+++ b/src/sim/adapter.cpp
@@ -217,7 +217,9 @@
         if (a.operation < 0) throw BadInput("missing field 'cls'");
         if (a.operation >= operations_) throw BadInput("field 'cls' names no operation");
         a.time_left = number(need(e, "remaining_us"), "remaining_us") / 1e6;
-        a.write = (small(e, "options", 0) & 4) != 0;
+        const int options = small(e, "options", 0);
+        a.write = (options & 4) != 0;
+        a.repeat = (options & 2) != 0;
         a.tenant = small(e, "org", 0);
         if (const Value* key = find(e, "key")) {
             a.has_key = true;
--- a/tests/host.h
+++ b/tests/host.h
@@ -88,7 +88,8 @@
         for (Listing& l : list) l.name = names[static_cast<std::size_t>(l.cache)];
         node->listed(now, kind, list);
     }
-    int arrive(std::uint64_t key, int operation = 0, bool write = false, double left = 1.2) {
+    int arrive(std::uint64_t key, int operation = 0, bool write = false, double left = 1.2,
+               bool repeat = false) {
         Arrival a;
         a.inv = next++;
         a.operation = operation;
@@ -96,6 +97,7 @@
         a.key = key;
         a.write = write;
         a.time_left = left;
+        a.repeat = repeat;
         node->arrived(now, a);
         return a.inv;
     }
