A slow answer at the least limit brings a pause as long as the answer took

Cause: with eighteen nodes one forward each, paused for less than it takes, still keeps a small cache crowded.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -46,7 +46,7 @@
 constexpr double kLimitMost = 64;
 constexpr double kPause = 0.1;  // s without a forward after a failure at the least limit; doubles
 constexpr double kOriginPauseMost = 2.0;
-constexpr double kCachePauseMost = 2.0;  // shorter: its queue is short, and each key has few other caches
+constexpr double kCachePauseMost = 4.0;  // shorter: its queue is short, and each key has few other caches
 constexpr double kOriginPart = 0.5;      // the origin's pace may take this part of the shortest objective
 
 constexpr double kPressureStep = 0.1;   // change of pressure at each look
@@ -606,7 +606,10 @@
                 if (c.origin) return;
                 if (took > kStrainPart * op.latency_objective) {
                     // With many nodes, one forward from each may already be too much.
-                    if (c.gate.limit <= kLimitLeast) c.gate.rest(draw(), kCachePauseMost, now);
+                    if (c.gate.limit <= kLimitLeast) {
+                        c.gate.pause = std::max(c.gate.pause, took);
+                        c.gate.rest(draw(), kCachePauseMost, now);
+                    }
                     c.gate.cut(kGentleCut, took, c.out, now);
                 } else {
                     c.gate.grow(c.out);
