--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -352,7 +352,9 @@
         } else if (kind == Timer::origin) {
             next_from_queue(now);
         } else if (kind == Timer::expiry) {
-            Invocation& v = invs_[token & 0xffffffffU];
+            const std::size_t inv = token & 0xffffffffU;
+            if (inv >= invs_.size()) return;  // none of ours
+            Invocation& v = invs_[inv];
             if (!v.open || v.wait == Wait::none || (v.turn & 0xffffffU) != ((token >> 32) & 0xffffffU))
                 return;
             leave_wait(v);
--- a/src/sim/adapter.cpp
+++ b/src/sim/adapter.cpp
@@ -31,6 +31,7 @@
 };
 
 const Value* find(const Value& object, const char* name) {
+    if (!object.IsObject()) throw BadInput(std::string("no object to hold '") + name + "'");
     const auto member = object.FindMember(name);
     return member == object.MemberEnd() || member->value.IsNull() ? nullptr : &member->value;
 }
