--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -38,6 +38,8 @@
 
 constexpr double kOriginStart = 4;  // forwards at the origin at first: little, it is shared and slow
 constexpr int kDisplaced = 1;       // closed gates that a key passes before it is throttled
+constexpr double kJamStrain =
+    0.55;                           // part of strained endings from which load displaces no key: all are full
 constexpr int kJammed = -2;         // no cache, for load alone
 constexpr double kCacheStart = 16;  // and at a cache; both settle within seconds
 constexpr double kGentleCut = 0.8;  // of the limit left when answers turn slow
@@ -445,7 +447,8 @@
             if (!c.gate.open(c.out, now)) {
                 // Further round, a cache lacks the key: the forward would only miss, and push out what it
                 // holds.
-                if (++jammed > kDisplaced) return passed >= 0 ? passed : kJammed;
+                if (++jammed > (strained_ > kJamStrain ? 0 : kDisplaced))
+                    return passed >= 0 ? passed : kJammed;
                 continue;
             }
             if (last_resort) return p->cache;
@@ -898,10 +901,11 @@
         if (now - looked_ < kPressureLook) return;
         looked_ = now;
         const int n = endings_.count(now);
-        const double strained = n > 0 ? endings_.sum(now) / n : 0;
-        const bool tight = strained > kReachStrain || !queue_.empty();
+        strained_ = n > 0 ? endings_.sum(now) / n : 0;
+        const bool tight = strained_ > kReachStrain || !queue_.empty();
         reach_ = std::clamp(reach_ + (tight ? kReachUp : -kReachDown), 0.0, 1.0);
-        pressure_ = std::clamp(pressure_ + (strained > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
+        pressure_ =
+            std::clamp(pressure_ + (strained_ > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
         std::vector<double> parts;
         for (Share& s : tenants_) {
             if (s.quota > 0) parts.push_back(s.arrivals.sum(now) / 4.0 / s.quota);
@@ -929,6 +933,7 @@
     unsigned walk_turn_ = 1U << 31;
     int list_failures_ = 0;
     double retries_ = kRetryMost / 2;
+    double strained_ = 0;  // part of the last second's endings at caches, as of the last look
     double pressure_ = 0;
     double reach_ = 0;
     double looked_ = 0;
