--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -56,6 +56,9 @@
 constexpr double kStrainPart = 0.35;    // a forward slower than this part of its objective is a strain
 constexpr double kStrained = 0.15;      // part of strained endings from which pressure rises
 
+constexpr double kKeepGrow = 1.03;   // of the time idle connections are kept, at each look without a refusal
+constexpr double kKeepLeast = 0.05;  // s; below this a burst to one cache would open a connection for each
+
 constexpr double kReachStrain = 0.2;  // part of strained endings from which more keys reach out
 constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
 constexpr double kReachDown = 0.01;   // back in half a minute, or copies would be torn again and again
@@ -182,6 +185,8 @@
     Gate gate{kCacheStart};
     Meter pace{kPaceSpan};  // seconds its answers took
     Meter cold_sent;
+    bool connected = false;  // this node may hold connections to it
+    double used = 0;         // when a forward of this node last ended there
     unsigned seen = 0;
 };
 
@@ -320,6 +325,7 @@
         const int at = f.cache;
         Cache& c = caches_[static_cast<std::size_t>(at)];
         --c.out;
+        c.used = now;
         judge(c, v, f, ending, took, now);
         if (over) {
             v.open = false;
@@ -642,6 +648,8 @@
             case Ending::timed_out:
             case Ending::refused:
             case Ending::reset:
+                // Many nodes before few caches fill their tables with connections that nobody uses.
+                if (ending == Ending::refused) keep_ = std::max(keep_ / 2, kKeepLeast);
                 if (f.sent < c.unanswered) c.unanswered = f.sent;
                 if (c.origin) return;
                 ease_off(c, kHardCut, kPause, 0, now);
@@ -679,6 +687,7 @@
         v.forwards.push_back({cache, now, Fate::out});
         ++v.out;
         ++c.out;
+        c.connected = true;
         if (c.unanswered == 0) c.unanswered = now;
         if (!c.origin) {
             c.cold_sent.add(now, 1);
@@ -891,6 +900,7 @@
     void look(double now) {
         if (now - looked_ < kPressureLook) return;
         looked_ = now;
+        close_idle(now);
         strained_ = endings_.mean(now);
         const bool tight = strained_ > kReachStrain || !queue_.empty();
         reach_ = std::clamp(reach_ + (tight ? kReachUp : -kReachDown), 0.0, 1.0);
@@ -904,6 +914,26 @@
         if (!parts.empty()) node_part_ = std::clamp(median(parts), node_part_, 1.0);
     }
 
+    // An idle connection is kept for as long as that costs less than opening it anew, at the prices told;
+    // for less after refusals: with many nodes a cache's table is full of connections that lie idle.
+    double worth_keeping() const {
+        const double most = deployment_.connection_idle > 0 ? deployment_.connection_idle : 1e9;
+        double rate = 0;
+        for (const Share& s : tenants_) rate += s.quota;
+        if (deployment_.connection_price <= 0 || rate <= 0) return most;
+        return std::min(most, 100 * members_.back() * deployment_.handshake_price /
+                                  (deployment_.connection_price * rate));
+    }
+    void close_idle(double now) {
+        keep_ = std::min(keep_ * kKeepGrow, worth_keeping());
+        for (std::size_t i = 0; i < caches_.size(); ++i) {
+            Cache& c = caches_[i];
+            if (!c.connected || c.out > 0 || now - c.used < keep_) continue;
+            c.connected = false;
+            host_.release(static_cast<int>(i));
+        }
+    }
+
     const Deployment deployment_;
     Host& host_;
     std::ranlux24_base chance_;
@@ -922,6 +952,7 @@
     double pressure_ = 0;
     double reach_ = 0;
     double looked_ = 0;
+    double keep_ = 1e9;  // s that an idle connection is kept
     double node_part_ = 1;
     std::map<std::uint64_t, std::vector<int>> fetches_;  // key: who waits for its fetch
     std::vector<int> queue_;                             // who waits for a place at the origin
--- a/src/decision/balancer.h
+++ b/src/decision/balancer.h
@@ -49,6 +49,9 @@
     int most_forwards = 1;
     double longest_retry_advice = 0;  // 0: clients take no advice
     double connect_timeout = 0;
+    double connection_idle = 0;   // an unused connection closes by itself after this; 0: never
+    double connection_price = 0;  // for a hundred open connections a cache, all day
+    double handshake_price = 0;   // for a new connection for each invocation
     double answer_grace = 0;
     double drain_grace = 0;
     double cold_from = 1;
@@ -90,6 +93,7 @@
     virtual void throttle(int inv, double retry_after) = 0;
     virtual void error(int inv) = 0;
     virtual void probe(int cache) = 0;
+    virtual void release(int cache) = 0;  // closes this node's idle connections to it
     virtual void watch_list() = 0;
     virtual void wake(double after, std::uint64_t token) = 0;
     virtual void log(std::string_view text) = 0;
--- a/src/sim/adapter.cpp
+++ b/src/sim/adapter.cpp
@@ -134,8 +134,13 @@
         d.may_tell_peers = flag(*allowed, "peers");
         d.most_forwards = small(*allowed, "most_forwards", 1);
         d.connect_timeout = seconds(*allowed, "connect_timeout_us");
+        d.connection_idle = seconds(*allowed, "conn_idle_us");
         if (flag(*allowed, "retry_after")) d.longest_retry_advice = seconds(*allowed, "max_retry_after_us");
     }
+    if (const Value* prices = find(info, "prices")) {
+        d.connection_price = number(*prices, "connection", 0);
+        d.handshake_price = number(*prices, "handshake", 0);
+    }
     if (const Value* facts = find(info, "specifics")) {
         const Value* mode = find(*facts, "mode");
         if (mode != nullptr && text(*mode, "mode") == "aside")
@@ -329,6 +334,11 @@
         server(cache);
         out_.EndObject();
     }
+    void release(int cache) override {
+        begin("release");
+        server(cache);
+        out_.EndObject();
+    }
     void watch_list() override {
         begin("observe");
         out_.Key("active");
--- a/tests/host.h
+++ b/tests/host.h
@@ -23,6 +23,7 @@
     void throttle(int inv, double) override { throttled.push_back(inv); }
     void error(int inv) override { errored.push_back(inv); }
     void probe(int cache) override { probes.push_back(cache); }
+    void release(int cache) override { released.push_back(cache); }
     void watch_list() override { ++watches; }
     void wake(double after, std::uint64_t token) override { timers.push_back({after, token}); }
     void log(std::string_view) override {}
@@ -32,7 +33,7 @@
         std::uint64_t token;
     };
     std::vector<Sent> sent;
-    std::vector<int> cancelled, throttled, errored, probes;
+    std::vector<int> cancelled, throttled, errored, probes, released;
     std::vector<Wake> timers;
     int watches = 0;
 };
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -102,6 +102,34 @@
     assert(fleet.host.sent.back().inv == second && fleet.host.sent.back().cache != kOrigin);
 }
 
+void idle_connections_are_closed_when_keeping_them_costs_more() {
+    struct Case {
+        double price;
+        int refusals;
+        double idle;
+        bool closed;
+    };
+    // Four caches, 100 invocations a second, equal prices: keeping pays for up to 4 s.
+    for (const Case& c : {Case{0.1, 0, 3.5, false}, Case{0.1, 0, 4.5, true}, Case{0, 0, 50, false},
+                          Case{0.1, 2, 1.5, true}, Case{0, 8, 20, true}}) {
+        Fleet fleet(4);
+        fleet.deployment.most_forwards = 1;
+        fleet.deployment.connection_idle = 60;
+        fleet.deployment.connection_price = c.price;
+        fleet.deployment.handshake_price = c.price;
+        fleet.deployment.tenants = {{50}, {50}};
+        fleet.start();
+        const int owner = fleet.owner(77);
+        std::uint64_t other = 1;
+        while (fleet.owner(other) == owner) ++other;
+        for (int n = 0; n < c.refusals; ++n) fleet.end(fleet.arrive(other), 0, Ending::refused);
+        fleet.now += c.idle;
+        fleet.owner(other);
+        const auto& closed = fleet.host.released;
+        assert((std::find(closed.begin(), closed.end(), owner) != closed.end()) == c.closed);
+    }
+}
+
 void the_list_is_asked_for_again_after_a_failure() {
     Fleet fleet(2);
     fleet.deployment.ask_for_list = true;
@@ -121,5 +149,6 @@
     load_displaces_a_key_by_one_cache_then_throttles();
     a_last_try_past_its_objective_is_throttled_at_once();
     misses_of_one_key_share_a_fetch();
+    idle_connections_are_closed_when_keeping_them_costs_more();
     the_list_is_asked_for_again_after_a_failure();
 }
