--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -53,6 +53,8 @@
 
 constexpr double kPressureStep = 0.1;   // change of pressure at each look
 constexpr double kPressureLook = 0.25;  // s between looks
+constexpr double kShareDepth = 10;      // invocations a tenant may have saved up at a node, at the least:
+                                        // at a few a second, chance alone empties less
 constexpr double kStrainPart = 0.35;    // a forward slower than this part of its objective is a strain
 constexpr double kStrained = 0.15;      // part of strained endings from which pressure rises
 
@@ -890,7 +892,7 @@
         s.arrivals.add(now, 1);
         if (s.quota <= 0) return false;
         const double rate = s.quota * node_part_;
-        s.tokens = std::min(s.tokens + (now - s.filled) * rate, std::max(rate, 1.0));
+        s.tokens = std::min(s.tokens + (now - s.filled) * rate, std::max(rate, kShareDepth));
         s.filled = now;
         if (s.tokens < 1) return true;
         s.tokens -= 1;
--- a/tests/host.h
+++ b/tests/host.h
@@ -90,8 +90,9 @@
         node->listed(now, kind, list);
     }
     int arrive(std::uint64_t key, int operation = 0, bool write = false, double left = 1.2,
-               bool repeat = false) {
+               bool repeat = false, int tenant = -1) {
         Arrival a;
+        a.tenant = tenant;
         a.inv = next++;
         a.operation = operation;
         a.has_key = true;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -130,6 +130,33 @@
     }
 }
 
+void a_tenant_is_over_its_share_by_more_than_chance() {
+    struct Case {
+        int invocations;
+        bool throttled;
+    };
+    // A hundred nodes, so a tenant's share here is one invocation in two seconds.
+    for (const Case& c : {Case{5, false}, Case{9, false}, Case{60, true}}) {
+        Fleet fleet(4);
+        fleet.deployment.nodes = 100;
+        fleet.deployment.tenants = {{50}, {50}};
+        fleet.start();
+        for (int n = 0; n < 40; ++n) {  // slow answers everywhere: the pressure is at its highest
+            fleet.now += 0.26;
+            const int inv = fleet.arrive(static_cast<std::uint64_t>(n));
+            if (fleet.finals(inv) == 0) fleet.end(inv, 0, Ending::succeeded, 0.25, true);
+        }
+        fleet.now += 9;  // no gate pauses any more; the pressure falls by one step a look
+        bool throttled = false;
+        for (int n = 0; n < c.invocations; ++n) {
+            const int inv = fleet.arrive(1, 0, false, 1.2, false, 1);
+            throttled = throttled || fleet.finals(inv) > 0;
+            if (fleet.finals(inv) == 0) fleet.end(inv, 0, Ending::succeeded, 0.05, true);
+        }
+        assert(throttled == c.throttled);
+    }
+}
+
 void the_list_is_asked_for_again_after_a_failure() {
     Fleet fleet(2);
     fleet.deployment.ask_for_list = true;
@@ -150,5 +177,6 @@
     a_last_try_past_its_objective_is_throttled_at_once();
     misses_of_one_key_share_a_fetch();
     idle_connections_are_closed_when_keeping_them_costs_more();
+    a_tenant_is_over_its_share_by_more_than_chance();
     the_list_is_asked_for_again_after_a_failure();
 }
