A key hotter than a cache's even share is split over that many points of the ring

A node now counts its keys over the last 128 to 256 invocations and draws one of as many points as the key's part makes of an even share.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -65,6 +65,9 @@
 constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
 constexpr double kReachDown = 0.01;   // back in half a minute, or copies would be torn again and again
 
+constexpr int kHotSample = 128;  // invocations counted before the older half of the counts is forgotten
+constexpr int kHotLeast = 3;     // of one key among them; fewer are chance
+
 std::uint64_t mix(std::uint64_t x) {
     x += 0x9e3779b97f4a7c15ULL;
     x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -216,6 +219,7 @@
     bool streaming = false;
     bool leads = false;
     bool over_share = false;
+    double heat = 0;         // its key's part of this node's invocations, 0 unless it stands out
     std::uint32_t turn = 0;  // tells a timer's invocation from a later one in the same place
 };
 
@@ -304,6 +308,7 @@
         retries_ = std::min(retries_ + kRetryPart, kRetryMost);
         look(now);
         v.over_share = over_share(v, now);
+        v.heat = heat(v.what);
         if ((v.over_share && draw() < pressure_) || v.useful - now <= 2 * deployment_.tick) {
             close(v);
             return;
@@ -439,7 +444,7 @@
         }
         const int members = members_[static_cast<std::size_t>(zone)];
         const double mean = static_cast<double>(total) / members;
-        const std::uint64_t at = mix(v.what.key ^ kRingSeed);
+        const std::uint64_t at = mix((v.what.key ^ kRingSeed) + split(v, members));
         auto p = std::lower_bound(ring.begin(), ring.end(), at,
                                   [](const Point& x, std::uint64_t key) { return x.at < key; });
         ++walk_turn_;
@@ -473,6 +478,27 @@
         return passed;
     }
 
+    // Exception: a key hotter than one cache's even share has several points, one drawn for each invocation;
+    // with many caches the most popular key alone is more than one of them can carry.
+    std::uint64_t split(const Invocation& v, int members) {
+        const int parts = std::min(static_cast<int>(v.heat * members), members);
+        return parts > 1 ? chance_() % static_cast<unsigned>(parts) : 0;
+    }
+    // Counted in two generations, so that a key is hot only while it is asked for.
+    double heat(const Arrival& a) {
+        if (!a.has_key || a.write) return 0;
+        if (++counted_[0] > kHotSample) {
+            std::swap(counts_[0], counts_[1]);
+            counts_[0].clear();
+            counted_ = {1, counted_[0] - 1};
+        }
+        const auto old = counts_[1].find(a.key);
+        const int count = ++counts_[0][a.key] + (old == counts_[1].end() ? 0 : old->second);
+        return count < kHotLeast
+                   ? 0
+                   : static_cast<double>(count) / std::max(counted_[0] + counted_[1], kHotSample);
+    }
+
     int pooled() const { return static_cast<int>(rings_.size()) - 1; }
 
     // Exception: while the own zone or the origin is strained, a share of keys, the same ones at every node
@@ -945,6 +971,8 @@
     std::vector<Invocation> invs_;
     std::vector<Share> tenants_;
     std::vector<double> first_time_left_;  // a row an operation: time left of the latest unmarked try
+    std::array<std::map<std::uint64_t, int>, 2> counts_;  // how often each key came, this generation and last
+    std::array<int, 2> counted_{};
     Meter endings_{1.0};
     unsigned list_turn_ = 0;
     unsigned walk_turn_ = 1U << 31;
--- a/tests/ring_test.cpp
+++ b/tests/ring_test.cpp
@@ -87,6 +87,27 @@
     }
 }
 
+void only_a_hot_key_is_split_and_only_while_it_is_hot() {
+    struct Case {
+        int of_ten;  // of ten invocations, so many ask for the one key
+        std::size_t most;
+    };
+    for (const Case& c : {Case{1, 1}, Case{3, 2}, Case{6, 5}}) {
+        Fleet fleet(8);
+        fleet.start();
+        const int home = fleet.owner(77);
+        std::map<int, int> used;
+        std::uint64_t key = 1000;
+        for (int n = 0; n < 600; ++n) {
+            const int at = fleet.owner(n % 10 < c.of_ten ? 77 : ++key);
+            if (n % 10 < c.of_ten && n > 300) ++used[at];
+        }
+        assert(used.size() <= c.most && (c.most == 1) == (used.size() == 1));
+        for (int n = 0; n < 300; ++n) fleet.owner(++key);
+        assert(fleet.owner(77) == home);
+    }
+}
+
 }  // namespace
 
 int main() {
@@ -95,4 +116,5 @@
     a_leaving_cache_moves_only_its_own_keys();
     a_zone_keeps_to_itself_until_it_is_empty();
     the_pass_over_needs_both_bounds();
+    only_a_hot_key_is_split_and_only_while_it_is_hot();
 }
