A connection whose usual idle time is longer than keeping pays is closed at once

Each node now keeps the usual idle time a cache, which starts from nodes, caches and quotas; past what keeping pays for it closes at once. A refusal that took the connect time is a silent machine, not a full table, and no longer shortens the keeping.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -58,8 +58,10 @@
 constexpr double kStrainPart = 0.35;    // a forward slower than this part of its objective is a strain
 constexpr double kStrained = 0.15;      // part of strained endings from which pressure rises
 
-constexpr double kKeepGrow = 1.03;   // of the time idle connections are kept, at each look without a refusal
-constexpr double kKeepLeast = 0.05;  // s; below this a burst to one cache would open a connection for each
+constexpr double kKeepGrow = 1.03;  // of the time idle connections are kept, at each look without a refusal
+constexpr double kQuickRefusal = 0.8;  // of the connect time-out
+constexpr double kGapPart = 0.25;      // of each newly seen idle time in the usual one
+constexpr double kKeepLeast = 0.05;    // s; below this a burst to one cache would open a connection for each
 
 constexpr double kReachStrain = 0.2;  // part of strained endings from which more keys reach out
 constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
@@ -192,6 +194,7 @@
     Meter cold_sent;
     bool connected = false;  // this node may hold connections to it
     double used = 0;         // when a forward of this node last ended there
+    double gap = 0;          // s that its connections usually lie idle between two uses; 0: not known
     unsigned seen = 0;
 };
 
@@ -239,6 +242,7 @@
           rings_(static_cast<std::size_t>(std::max(1, deployment.zones)) + 1),
           tenants_(deployment.tenants.size()) {
         for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
+        for (const Tenant& t : deployment.tenants) quotas_ += t.quota;
         first_time_left_.resize(deployment.operations.size());
         for (const Operation& op : deployment.operations) {
             origin_target_ = std::min(origin_target_, kOriginPart * op.latency_objective);
@@ -333,6 +337,7 @@
         Cache& c = caches_[static_cast<std::size_t>(at)];
         --c.out;
         c.used = now;
+        if (c.out == 0) part_with(c);
         judge(c, v, f, ending, took, now);
         if (over) {
             v.open = false;
@@ -676,8 +681,10 @@
             case Ending::timed_out:
             case Ending::refused:
             case Ending::reset:
-                // Many nodes before few caches fill their tables with connections that nobody uses.
-                if (ending == Ending::refused) keep_ = std::max(keep_ / 2, kKeepLeast);
+                // Many nodes before few caches fill their tables with connections that nobody uses. A machine
+                // that has gone silent takes all of the connect time; a full table says so at once.
+                if (ending == Ending::refused && took < kQuickRefusal * deployment_.connect_timeout)
+                    keep_ = std::max(keep_ / 2, kKeepLeast);
                 if (f.sent < c.unanswered) c.unanswered = f.sent;
                 if (c.origin) return;
                 ease_off(c, kHardCut, kPause, 0, now);
@@ -715,6 +722,12 @@
         v.forwards.push_back({cache, now, Fate::out});
         ++v.out;
         ++c.out;
+        if (c.out == 1 && c.used == 0 && !c.origin && quotas_ > 0) {
+            c.gap = members_.back() * deployment_.nodes / quotas_;  // as if all nodes and caches were alike
+        } else if (c.out == 1 && c.used > 0) {
+            const double idle = now - c.used;
+            c.gap = (c.gap == 0 ? idle : c.gap) * (1 - kGapPart) + idle * kGapPart;
+        }
         c.connected = true;
         if (c.unanswered == 0) c.unanswered = now;
         if (!c.origin) {
@@ -945,22 +958,27 @@
     // An idle connection is kept for as long as that costs less than opening it anew, at the prices told;
     // for less after refusals: with many nodes a cache's table is full of connections that lie idle.
     double worth_keeping() const {
-        const double most = deployment_.connection_idle > 0 ? deployment_.connection_idle : 1e9;
-        double rate = 0;
-        for (const Share& s : tenants_) rate += s.quota;
-        if (deployment_.connection_price <= 0 || rate <= 0) return most;
+        const double most = most_kept();
+        if (deployment_.connection_price <= 0 || quotas_ <= 0) return most;
         return std::min(most, 100 * members_.back() * deployment_.handshake_price /
-                                  (deployment_.connection_price * rate));
+                                  (deployment_.connection_price * quotas_));
     }
     void close_idle(double now) {
         keep_ = std::min(keep_ * kKeepGrow, worth_keeping());
         for (std::size_t i = 0; i < caches_.size(); ++i) {
             Cache& c = caches_[i];
-            if (!c.connected || c.out > 0 || now - c.used < keep_) continue;
-            c.connected = false;
-            host_.release(static_cast<int>(i));
+            if (c.connected && c.out == 0 && now - c.used >= keep_) release(c);
         }
     }
+    // What usually lies idle for longer than keeping pays is closed at once: waiting first costs both.
+    void part_with(Cache& c) {
+        if (c.gap > keep_ && keep_ < most_kept()) release(c);
+    }
+    void release(Cache& c) {
+        c.connected = false;
+        host_.release(static_cast<int>(&c - caches_.data()));
+    }
+    double most_kept() const { return deployment_.connection_idle > 0 ? deployment_.connection_idle : 1e9; }
 
     const Deployment deployment_;
     Host& host_;
@@ -982,6 +1000,7 @@
     double pressure_ = 0;
     double reach_ = 0;
     double looked_ = 0;
+    double quotas_ = 0;  // of all tenants together, what all nodes together are made for
     double keep_ = 1e9;  // s that an idle connection is kept
     double node_part_ = 1;
     std::map<std::uint64_t, std::vector<int>> fetches_;  // key: who waits for its fetch
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -106,14 +106,16 @@
     struct Case {
         double price;
         int refusals;
-        double idle;
+        double took, idle;
         bool closed;
     };
     // Four caches, 100 invocations a second, equal prices: keeping pays for up to 4 s.
-    for (const Case& c : {Case{0.1, 0, 3.5, false}, Case{0.1, 0, 4.5, true}, Case{0, 0, 50, false},
-                          Case{0.1, 2, 1.5, true}, Case{0, 8, 20, true}}) {
+    for (const Case& c :
+         {Case{0.1, 0, 0, 3.5, false}, Case{0.1, 0, 0, 4.5, true}, Case{0, 0, 0, 50, false},
+          Case{0.1, 2, 0.01, 1.5, true}, Case{0, 8, 0.01, 20, true}, Case{0, 8, 0.25, 20, false}}) {
         Fleet fleet(4);
         fleet.deployment.most_forwards = 1;
+        fleet.deployment.connect_timeout = 0.25;
         fleet.deployment.connection_idle = 60;
         fleet.deployment.connection_price = c.price;
         fleet.deployment.handshake_price = c.price;
@@ -122,7 +124,7 @@
         const int owner = fleet.owner(77);
         std::uint64_t other = 1;
         while (fleet.owner(other) == owner) ++other;
-        for (int n = 0; n < c.refusals; ++n) fleet.end(fleet.arrive(other), 0, Ending::refused);
+        for (int n = 0; n < c.refusals; ++n) fleet.end(fleet.arrive(other), 0, Ending::refused, c.took);
         fleet.now += c.idle;
         fleet.owner(other);
         const auto& closed = fleet.host.released;
@@ -130,6 +132,20 @@
     }
 }
 
+void with_many_nodes_a_connection_is_closed_at_once() {
+    // At equal prices, keeping one pays at up to a hundred nodes.
+    for (int nodes : {2, 90, 110, 700}) {
+        Fleet fleet(4);
+        fleet.deployment.nodes = nodes;
+        fleet.deployment.connection_idle = 60;
+        fleet.deployment.connection_price = fleet.deployment.handshake_price = 0.1;
+        fleet.deployment.tenants = {{50}, {50}};
+        fleet.start();
+        fleet.owner(77);
+        assert(fleet.host.released.size() == (nodes > 100 ? 1U : 0U));
+    }
+}
+
 void a_tenant_is_over_its_share_by_more_than_chance() {
     struct Case {
         int invocations;
@@ -177,6 +193,7 @@
     a_last_try_past_its_objective_is_throttled_at_once();
     misses_of_one_key_share_a_fetch();
     idle_connections_are_closed_when_keeping_them_costs_more();
+    with_many_nodes_a_connection_is_closed_at_once();
     a_tenant_is_over_its_share_by_more_than_chance();
     the_list_is_asked_for_again_after_a_failure();
 }
