--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -63,6 +63,9 @@
 constexpr double kGapPart = 0.25;      // of each newly seen idle time in the usual one
 constexpr double kKeepLeast = 0.05;    // s; below this a burst to one cache would open a connection for each
 
+constexpr int kEnough = 16;        // endings in a second that tell strain from chance; with fewer, those of
+constexpr double kMoreSpan = 8.0;  // as many seconds
+
 constexpr double kReachStrain = 0.2;  // part of strained endings from which more keys reach out
 constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
 constexpr double kReachDown = 0.01;   // back in half a minute, or copies would be torn again and again
@@ -637,10 +640,10 @@
     void judge(Cache& c, const Invocation& v, const Forward& f, Ending ending, double took, double now) {
         const Operation& op = operation(v);
         if (!c.origin) {
-            endings_.add(now, ending == Ending::busy || ending == Ending::timed_out ||
-                                      ending == Ending::refused || took > kStrainPart * op.latency_objective
-                                  ? 1
-                                  : 0);
+            const bool strain = ending == Ending::busy || ending == Ending::timed_out ||
+                                ending == Ending::refused || took > kStrainPart * op.latency_objective;
+            endings_.add(now, strain);
+            more_endings_.add(now, strain);
         }
         switch (ending) {
             case Ending::succeeded:
@@ -943,10 +946,11 @@
         looked_ = now;
         close_idle(now);
         strained_ = endings_.mean(now);
+        // One second of a node with little traffic is chance, and shedding by chance spares the greedy.
+        const double steady = endings_.count(now) < kEnough ? more_endings_.mean(now) : strained_;
         const bool tight = strained_ > kReachStrain || !queue_.empty();
         reach_ = std::clamp(reach_ + (tight ? kReachUp : -kReachDown), 0.0, 1.0);
-        pressure_ =
-            std::clamp(pressure_ + (strained_ > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
+        pressure_ = std::clamp(pressure_ + (steady > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
         std::vector<double> parts;
         for (Share& s : tenants_) {
             if (s.quota > 0) parts.push_back(s.arrivals.sum(now) / kPaceSpan / s.quota);
@@ -992,6 +996,7 @@
     std::array<std::map<std::uint64_t, int>, 2> counts_;  // how often each key came, this generation and last
     std::array<int, 2> counted_{};
     Meter endings_{1.0};
+    Meter more_endings_{kMoreSpan};
     unsigned list_turn_ = 0;
     unsigned walk_turn_ = 1U << 31;
     int list_failures_ = 0;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -173,6 +173,33 @@
     }
 }
 
+void few_endings_a_second_still_tell_strain_from_chance() {
+    struct Case {
+        int strained_of_ten;
+        bool shed;
+    };
+    // Two endings a second: a second alone shows all or nothing.
+    for (const Case& c : {Case{0, false}, Case{1, false}, Case{2, true}, Case{5, true}}) {
+        Fleet fleet(4);
+        fleet.deployment.nodes = 100;
+        fleet.deployment.tenants = {{50}, {50}};
+        fleet.start();
+        for (int n = 0; n < 100; ++n) {
+            fleet.now += 0.5;
+            const int inv = fleet.arrive(static_cast<std::uint64_t>(n));
+            const bool strained = n * c.strained_of_ten % 10 < c.strained_of_ten;
+            if (fleet.finals(inv) == 0) fleet.end(inv, 0, Ending::succeeded, strained ? 0.25 : 0.05, true);
+        }
+        std::size_t shed = fleet.host.throttled.size();
+        for (int n = 0; n < 60; ++n) {
+            const int inv = fleet.arrive(1, 0, false, 1.2, false, 1);
+            if (fleet.finals(inv) == 0) fleet.end(inv, 0, Ending::succeeded, 0.05, true);
+        }
+        shed = fleet.host.throttled.size() - shed;
+        assert(c.shed ? shed >= 40 : shed == 0);
+    }
+}
+
 void the_list_is_asked_for_again_after_a_failure() {
     Fleet fleet(2);
     fleet.deployment.ask_for_list = true;
@@ -195,5 +222,6 @@
     idle_connections_are_closed_when_keeping_them_costs_more();
     with_many_nodes_a_connection_is_closed_at_once();
     a_tenant_is_over_its_share_by_more_than_chance();
+    few_endings_a_second_still_tell_strain_from_chance();
     the_list_is_asked_for_again_after_a_failure();
 }
