A machine kind that strains more than another takes a lesser share of its keys

Each node now counts strained endings by the kind the list names and lowers that kind's share of keys by hash, so nodes agree on all but the last few.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -66,6 +66,11 @@
 constexpr int kEnough = 16;        // endings in a second that tell strain from chance; with fewer, those of
 constexpr double kMoreSpan = 8.0;  // as many seconds
 
+constexpr double kKindApart = 0.05;  // more strained endings than the least strained kind: its share falls
+constexpr double kKindDown = 0.02;   // at each look; down in seconds,
+constexpr double kKindUp = 0.005;    // back slowly, as with reach; half these steps gained less
+constexpr double kKindLeast = 0.4;   // machines further apart than that are a fault, not a kind
+
 constexpr double kReachStrain = 0.2;  // part of strained endings from which more keys reach out
 constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
 constexpr double kReachDown = 0.01;   // back in half a minute, or copies would be torn again and again
@@ -181,6 +186,7 @@
     std::uint64_t hash = 0;
     int zone = 0;
     int cell = 0;
+    int kind = 0;
     bool origin = false;
     Standing standing = Standing::gone;
     double cold_since = -1e9;  // when it last started, as told or as guessed after a silence
@@ -270,6 +276,9 @@
             c.hash = hash_name(e.name);
             c.zone = std::clamp(e.zone, 0, pooled() - 1);
             c.cell = e.cell;
+            c.kind = std::max(e.kind, 0);
+            if (c.kind >= static_cast<int>(kinds_.size()))
+                kinds_.resize(static_cast<std::size_t>(c.kind) + 1);
             c.origin = deployment_.origin_kind >= 0 && e.kind == deployment_.origin_kind;
             c.standing = e.standing;
             c.seen = list_turn_;
@@ -390,6 +399,10 @@
     }
 
   private:
+    struct Kind {
+        Meter strains{kMoreSpan};
+        double share = 1;
+    };
     struct Share {
         double quota = 0;
         double tokens = 0;
@@ -468,6 +481,7 @@
             if (!may_forward(v, p->cache, now)) continue;
             if (!last_resort && tried(v, p->cache)) continue;
             if (!welcome_cold(c, v, now)) continue;
+            if (!last_resort && !within_kind_share(c, v)) continue;
             if (!last_resort && !healthy(c, now) && !trial_due(c, v, now)) continue;
             if (!c.gate.open(c.out, now)) {
                 // Further round, a cache lacks the key: the forward would only miss, and push out what it
@@ -597,6 +611,24 @@
         return caches == 0 ? 0 : deployment_.fall_time * answers / caches / kPaceSpan;
     }
 
+    // Exception: machines of one kind that strain more than those of another take a lesser share of their
+    // keys, the same ones at every node with that share. Nobody tells speeds, and the list's sizes may
+    // mislead.
+    bool within_kind_share(const Cache& c, const Invocation& v) const {
+        const double share = kinds_[static_cast<std::size_t>(c.kind)].share;
+        return share >= 1 || unit(mix(v.what.key * 5 ^ c.hash)) < share;
+    }
+    void weigh_kinds(double now) {
+        double least = 1;
+        for (Kind& k : kinds_) {
+            if (k.strains.count(now) >= kEnough / 2) least = std::min(least, k.strains.mean(now));
+        }
+        for (Kind& k : kinds_) {
+            const bool over = k.strains.count(now) >= kEnough / 2 && k.strains.mean(now) > least + kKindApart;
+            k.share = std::clamp(k.share + (over ? -kKindDown : kKindUp), kKindLeast, 1.0);
+        }
+    }
+
     // ---- health --------------------------------------------------------------------------------------
 
     bool healthy(Cache& c, double now) {
@@ -644,6 +676,7 @@
                                 ending == Ending::refused || took > kStrainPart * op.latency_objective;
             endings_.add(now, strain);
             more_endings_.add(now, strain);
+            kinds_[static_cast<std::size_t>(c.kind)].strains.add(now, strain);
         }
         switch (ending) {
             case Ending::succeeded:
@@ -945,6 +978,7 @@
         if (now - looked_ < kPressureLook) return;
         looked_ = now;
         close_idle(now);
+        weigh_kinds(now);
         strained_ = endings_.mean(now);
         // One second of a node with little traffic is chance, and shedding by chance spares the greedy.
         const double steady = endings_.count(now) < kEnough ? more_endings_.mean(now) : strained_;
@@ -991,6 +1025,7 @@
     std::vector<std::vector<Point>> rings_;
     std::vector<int> members_;
     std::vector<Invocation> invs_;
+    std::vector<Kind> kinds_;
     std::vector<Share> tenants_;
     std::vector<double> first_time_left_;  // a row an operation: time left of the latest unmarked try
     std::array<std::map<std::uint64_t, int>, 2> counts_;  // how often each key came, this generation and last
--- a/tests/ring_test.cpp
+++ b/tests/ring_test.cpp
@@ -108,6 +108,31 @@
     }
 }
 
+void a_straining_kind_takes_fewer_keys_and_only_then() {
+    struct Case {
+        double took;
+        int least, most;  // of 400 keys that are at home on the kind
+    };
+    for (const Case& c : {Case{0.05, 400, 400}, Case{0.25, 100, 200}}) {
+        Fleet fleet(6);
+        for (Listing& l : fleet.list) l.kind = l.cache == kOrigin ? 1 : l.cache % 2 * 2;
+        fleet.start();
+        std::vector<std::uint64_t> at_home;
+        for (std::uint64_t key = 0; at_home.size() < 400; ++key) {
+            if (fleet.owner(key) % 2 == 1) at_home.push_back(key);
+        }
+        for (int n = 0; n < 400; ++n) {
+            fleet.now += 0.5;
+            const int inv = fleet.arrive(static_cast<std::uint64_t>(n));
+            const bool slow = fleet.host.sent.back().cache % 2 == 1;
+            if (fleet.finals(inv) == 0) fleet.end(inv, 0, Ending::succeeded, slow ? c.took : 0.05, true);
+        }
+        int stay = 0;
+        for (std::uint64_t key : at_home) stay += fleet.owner(key) % 2 == 1;
+        assert(stay >= c.least && stay <= c.most);
+    }
+}
+
 }  // namespace
 
 int main() {
@@ -117,4 +142,5 @@
     a_zone_keeps_to_itself_until_it_is_empty();
     the_pass_over_needs_both_bounds();
     only_a_hot_key_is_split_and_only_while_it_is_hot();
+    a_straining_kind_takes_fewer_keys_and_only_then();
 }
