--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -59,9 +59,10 @@
 constexpr double kStrained = 0.15;      // part of strained endings from which pressure rises
 
 constexpr double kKeepGrow = 1.03;  // of the time idle connections are kept, at each look without a refusal
-constexpr double kQuickRefusal = 0.8;  // of the connect time-out
-constexpr double kGapPart = 0.25;      // of each newly seen idle time in the usual one
-constexpr double kKeepLeast = 0.05;    // s; below this a burst to one cache would open a connection for each
+constexpr double kQuickRefusal = 0.8;    // of the connect time-out
+constexpr double kHandshakeTimes = 1.5;  // its price: it also costs the cache work and the client a wait
+constexpr double kGapPart = 0.25;        // of each newly seen idle time in the usual one
+constexpr double kKeepLeast = 0.05;  // s; below this a burst to one cache would open a connection for each
 
 constexpr int kEnough = 16;        // endings in a second that tell strain from chance; with fewer, those of
 constexpr double kMoreSpan = 8.0;  // as many seconds
@@ -998,7 +999,7 @@
     double worth_keeping() const {
         const double most = most_kept();
         if (deployment_.connection_price <= 0 || quotas_ <= 0) return most;
-        return std::min(most, 100 * members_.back() * deployment_.handshake_price /
+        return std::min(most, kHandshakeTimes * 100 * members_.back() * deployment_.handshake_price /
                                   (deployment_.connection_price * quotas_));
     }
     void close_idle(double now) {
