All nodes together start with sixteen forwards at the origin, one a node at the least

Cause: four a node at the start are over a hundred with 28 nodes and over a thousand with 342; all timed out, and so did each node that restarted.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -40,10 +40,10 @@
 constexpr double kJamStrain = 0.55;  // part of strained endings from which it passes none: all are full
 constexpr int kJammed = -2;          // no cache, for load alone
 
-constexpr double kOriginStart = 4;  // forwards at the origin at first: little, it is shared and slow
-constexpr double kCacheStart = 16;  // and at a cache; both settle within seconds
-constexpr double kGentleCut = 0.8;  // of the limit left when answers turn slow
-constexpr double kHardCut = 0.5;    // and when forwards fail
+constexpr double kOriginStart = 16;  // forwards of all nodes at the origin at first: it is shared and slow
+constexpr double kCacheStart = 16;   // and at a cache; both settle within seconds
+constexpr double kGentleCut = 0.8;   // of the limit left when answers turn slow
+constexpr double kHardCut = 0.5;     // and when forwards fail
 constexpr double kLimitLeast = 1;
 constexpr double kLimitMost = 64;
 constexpr double kPause = 0.1;  // s without a forward after a failure at the least limit; doubles
@@ -253,6 +253,7 @@
           tenants_(deployment.tenants.size()) {
         for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
         for (const Tenant& t : deployment.tenants) quotas_ += t.quota;
+        origin_gate_.limit = std::clamp(kOriginStart / std::max(1, deployment.nodes), kLimitLeast, 4.0);
         first_time_left_.resize(deployment.operations.size());
         for (const Operation& op : deployment.operations) {
             origin_target_ = std::min(origin_target_, kOriginPart * op.latency_objective);
@@ -1046,7 +1047,7 @@
     double node_part_ = 1;
     std::map<std::uint64_t, std::vector<int>> fetches_;  // key: who waits for its fetch
     std::vector<int> queue_;                             // who waits for a place at the origin
-    Gate origin_gate_{kOriginStart};
+    Gate origin_gate_;
     double origin_pace_ = 0;
     double origin_target_ = 1;
     int origin_out_ = 0;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -200,6 +200,21 @@
     }
 }
 
+void all_nodes_together_start_gently_at_the_origin() {
+    struct Case {
+        int nodes, fetches;
+    };
+    for (const Case& c : {Case{1, 4}, Case{4, 4}, Case{8, 2}, Case{16, 1}, Case{700, 1}}) {
+        Fleet fleet(4);
+        fleet.deployment.nodes = c.nodes;
+        fleet.start();
+        for (std::uint64_t key = 0; key < 6; ++key) fleet.end(fleet.arrive(key), 0, Ending::miss);
+        const auto& sent = fleet.host.sent;
+        assert(std::count_if(sent.begin(), sent.end(), [](const Sent& s) { return s.cache == kOrigin; }) ==
+               c.fetches);
+    }
+}
+
 void the_list_is_asked_for_again_after_a_failure() {
     Fleet fleet(2);
     fleet.deployment.ask_for_list = true;
@@ -223,5 +238,6 @@
     with_many_nodes_a_connection_is_closed_at_once();
     a_tenant_is_over_its_share_by_more_than_chance();
     few_endings_a_second_still_tell_strain_from_chance();
+    all_nodes_together_start_gently_at_the_origin();
     the_list_is_asked_for_again_after_a_failure();
 }
