--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -31,7 +31,9 @@
 constexpr double kRestart = 3.0;  // s of silence that may hide a restart; less is a jam
 
 constexpr double kRetryPart = 0.2;  // further forwards earned by each invocation
-constexpr double kRetryMost = 20;   // and saved at the most: one short outage, not a storm
+constexpr double kRetryMost = 100;  // and saved up at the most by all nodes, five at least: one short
+                                    // outage, not a storm
+constexpr double kRetryLeast = 2;   // and by one node, where there are many
 
 constexpr double kColdSafety = 0.8;  // part of the guaranteed warm-up that is used
 constexpr double kColdBudget = 0.6;  // part of this node's even share of rule 4's budget that is used
@@ -253,6 +255,8 @@
           tenants_(deployment.tenants.size()) {
         for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
         for (const Tenant& t : deployment.tenants) quotas_ += t.quota;
+        most_retries_ = std::clamp(kRetryMost / std::max(1, deployment.nodes), kRetryLeast, kRetryMost / 5);
+        retries_ = most_retries_ / 2;
         origin_gate_.limit = std::clamp(kOriginStart / std::max(1, deployment.nodes), kLimitLeast, 4.0);
         first_time_left_.resize(deployment.operations.size());
         for (const Operation& op : deployment.operations) {
@@ -323,7 +327,7 @@
         v.wait = Wait::none;
         v.streaming = v.leads = false;
         ++v.turn;
-        retries_ = std::min(retries_ + kRetryPart, kRetryMost);
+        retries_ = std::min(retries_ + kRetryPart, most_retries_);
         look(now);
         v.over_share = over_share(v, now);
         v.heat = heat(v.what);
@@ -1037,7 +1041,8 @@
     unsigned list_turn_ = 0;
     unsigned walk_turn_ = 1U << 31;
     int list_failures_ = 0;
-    double retries_ = kRetryMost / 2;
+    double most_retries_ = 0;
+    double retries_ = 0;
     double strained_ = 0;  // part of the last second's endings at caches, as of the last look
     double pressure_ = 0;
     double reach_ = 0;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -215,6 +215,20 @@
     }
 }
 
+void further_forwards_are_saved_up_by_all_nodes_together() {
+    struct Case {
+        int nodes, again;
+    };
+    // Each of twelve invocations finds one full cache; so many of them are forwarded again.
+    for (const Case& c : {Case{1, 12}, Case{5, 12}, Case{700, 3}}) {
+        Fleet fleet(200);
+        fleet.deployment.nodes = c.nodes;
+        fleet.start();
+        for (std::uint64_t key = 0; key < 12; ++key) fleet.end(fleet.arrive(key), 0, Ending::busy);
+        assert(static_cast<int>(fleet.host.sent.size()) == 12 + c.again);
+    }
+}
+
 void the_list_is_asked_for_again_after_a_failure() {
     Fleet fleet(2);
     fleet.deployment.ask_for_list = true;
@@ -239,5 +253,6 @@
     a_tenant_is_over_its_share_by_more_than_chance();
     few_endings_a_second_still_tell_strain_from_chance();
     all_nodes_together_start_gently_at_the_origin();
+    further_forwards_are_saved_up_by_all_nodes_together();
     the_list_is_asked_for_again_after_a_failure();
 }
