Keys reach out from 40% strained endings, not from 20%

Cause: at a few endings a second one slow answer is over a fifth of them, and a node that reaches out alone asks other caches than its fellows do.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -988,7 +988,7 @@
         strained_ = endings_.mean(now);
         // One second of a node with little traffic is chance, and shedding by chance spares the greedy.
         const double steady = endings_.count(now) < kEnough ? more_endings_.mean(now) : strained_;
-        const bool tight = strained_ > kReachStrain || !queue_.empty();
+        const bool tight = strained_ > 2 * kReachStrain || !queue_.empty();
         reach_ = std::clamp(reach_ + (tight ? kReachUp : -kReachDown), 0.0, 1.0);
         pressure_ = std::clamp(pressure_ + (steady > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
         std::vector<double> parts;
