--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -791,9 +791,11 @@
         send(v, cache, v.useful - now, now);
     }
 
-    // After a failed forward: another if rule 2, the time left and the budget all allow it.
+    // After a failed forward: another if rule 2, the time left and the budget all allow it; but in a jam none
+    // goes to a further cache: all are full, and each try costs one of them a handshake and a place in vain.
     void again(Invocation& v, double now, bool from_origin) {
-        if (v.useful - now > 2 * deployment_.tick && retries_ >= 1) {
+        if (v.useful - now > 2 * deployment_.tick && retries_ >= 1 &&
+            (from_origin || strained_ <= kJamStrain)) {
             retries_ -= 1;
             if (from_origin) {
                 to_origin(v, now);
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -229,6 +229,27 @@
     }
 }
 
+void in_a_jam_nothing_is_forwarded_again() {
+    struct Case {
+        int full_of_ten;
+        bool again;
+    };
+    for (const Case& c : {Case{0, true}, Case{4, true}, Case{8, false}, Case{10, false}}) {
+        Fleet fleet(200);
+        fleet.start();
+        for (int n = 0; n < 20; ++n) {
+            fleet.now += 0.1;
+            const int inv = fleet.arrive(static_cast<std::uint64_t>(n));
+            const bool full = n % 10 < c.full_of_ten;
+            fleet.end(inv, 0, full ? Ending::busy : Ending::succeeded, 0.05, true);
+        }
+        fleet.now += 0.1;
+        const int inv = fleet.arrive(1000);
+        fleet.end(inv, 0, Ending::busy);
+        assert((fleet.finals(inv) == 0) == c.again);
+    }
+}
+
 void the_list_is_asked_for_again_after_a_failure() {
     Fleet fleet(2);
     fleet.deployment.ask_for_list = true;
@@ -254,5 +275,6 @@
     few_endings_a_second_still_tell_strain_from_chance();
     all_nodes_together_start_gently_at_the_origin();
     further_forwards_are_saved_up_by_all_nodes_together();
+    in_a_jam_nothing_is_forwarded_again();
     the_list_is_asked_for_again_after_a_failure();
 }
