Cold caches in thin zones take an even share of all, nothing displaced; rings change by what came or went

A cold cache's share is now scaled to an even part of all caches, load displaces no key onto it, and a change touches only the points that came or went.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -190,6 +190,7 @@
     int zone = 0;
     int cell = 0;
     int kind = 0;
+    int ring = -1;  // the zone whose ring holds its points; -1: none
     bool origin = false;
     Standing standing = Standing::gone;
     double cold_since = -1e9;  // when it last started, as told or as guessed after a silence
@@ -239,7 +240,7 @@
 };
 
 struct Point {
-    std::uint64_t at;
+    std::uint32_t at;
     int cache;
 };
 
@@ -274,8 +275,10 @@
             if (start > c.cold_since + 0.001 || c.hash == 0) {
                 // A process that started anew has none of the faults, and none of the memory, of the old one.
                 const int out = c.out;
+                const int ring = c.ring;
                 c = Cache{};
                 c.out = out;
+                c.ring = ring;
                 c.cold_since = start;
             }
             c.cold_sent.span(deployment_.fall_time);
@@ -294,7 +297,7 @@
                 if (c.seen != list_turn_) c.standing = Standing::gone;
             }
         }
-        build_rings();
+        update_rings();
         if (kind == ListKind::disk) {
             // What is on disk may be old in every line, so the list is asked for before anything else.
             if (deployment_.ask_for_list) ask_for_list();
@@ -354,6 +357,7 @@
         const int at = f.cache;
         Cache& c = caches_[static_cast<std::size_t>(at)];
         --c.out;
+        count_out(c, -1);
         c.used = now;
         if (c.out == 0) part_with(c);
         judge(c, v, f, ending, took, now);
@@ -437,43 +441,72 @@
 
     // ---- the ring -------------------------------------------------------------------------------------
 
-    void build_rings() {
-        for (auto& ring : rings_) ring.clear();
-        members_.assign(rings_.size(), 0);
+    // Only what came or went is touched: with hundreds of caches, sorting all points at each change of the
+    // list took more of a node's CPU than everything else.
+    void update_rings() {
+        const auto wanted = [](const Cache& c) {
+            return c.standing == Standing::ready && !c.origin ? c.zone : -1;
+        };
+        const auto before = [this](const Point& a, const Point& b) {
+            return a.at != b.at ? a.at < b.at : hash_of(a.cache) < hash_of(b.cache);
+        };
+        std::vector<std::vector<Point>> fresh(rings_.size());
+        bool left = false;
         for (std::size_t i = 0; i < caches_.size(); ++i) {
             const Cache& c = caches_[i];
-            if (c.standing != Standing::ready || c.origin) continue;
-            const auto z = static_cast<std::size_t>(c.zone);
-            ++members_[z];
-            ++members_.back();
+            if (wanted(c) == c.ring) continue;
+            left = left || c.ring >= 0;
+            if (wanted(c) < 0) continue;
             for (int p = 0; p < kPoints; ++p) {
-                const Point point{mix(c.hash + static_cast<std::uint64_t>(p)), static_cast<int>(i)};
-                rings_[z].push_back(point);
-                rings_.back().push_back(point);
+                const Point point{spot(c.hash + static_cast<std::uint64_t>(p)), static_cast<int>(i)};
+                fresh[static_cast<std::size_t>(c.zone)].push_back(point);
+                fresh.back().push_back(point);
             }
         }
-        for (auto& ring : rings_) {
-            std::sort(ring.begin(), ring.end(), [this](const Point& a, const Point& b) {
-                return a.at != b.at ? a.at < b.at : hash_of(a.cache) < hash_of(b.cache);
-            });
+        for (std::size_t z = 0; z < rings_.size(); ++z) {
+            auto& ring = rings_[z];
+            if (left) {
+                std::erase_if(ring, [&](const Point& p) {
+                    const Cache& c = caches_[static_cast<std::size_t>(p.cache)];
+                    return wanted(c) != c.ring;
+                });
+            }
+            std::sort(fresh[z].begin(), fresh[z].end(), before);
+            const auto old = static_cast<std::ptrdiff_t>(ring.size());
+            ring.insert(ring.end(), fresh[z].begin(), fresh[z].end());
+            std::inplace_merge(ring.begin(), ring.begin() + old, ring.end(), before);
+        }
+        members_.assign(rings_.size(), 0);
+        outs_.assign(rings_.size(), 0);
+        origin_ = -1;
+        for (std::size_t i = 0; i < caches_.size(); ++i) {
+            Cache& c = caches_[i];
+            c.ring = wanted(c);
+            if (c.origin && c.standing == Standing::ready && (origin_ < 0 || c.hash < hash_of(origin_)))
+                origin_ = static_cast<int>(i);
+            if (c.ring < 0) continue;
+            ++members_[static_cast<std::size_t>(c.ring)];
+            ++members_.back();
+            count_out(c, c.out);
         }
     }
+    void count_out(const Cache& c, int by) {
+        if (c.ring < 0) return;
+        outs_[static_cast<std::size_t>(c.ring)] += by;
+        outs_.back() += by;
+    }
+    static std::uint32_t spot(std::uint64_t x) { return static_cast<std::uint32_t>(mix(x) >> 32); }
     std::uint64_t hash_of(int cache) const { return caches_[static_cast<std::size_t>(cache)].hash; }
 
     // The first cache clockwise that nothing speaks against; -1 when each one is ruled out.
     int walk(const Invocation& v, int zone, double now, bool last_resort) {
         const auto& ring = rings_[static_cast<std::size_t>(zone)];
         if (ring.empty()) return -1;
-        int total = 0;
-        for (const Cache& c : caches_) {
-            if (c.standing == Standing::ready && !c.origin && (c.zone == zone || zone == pooled()))
-                total += c.out;
-        }
         const int members = members_[static_cast<std::size_t>(zone)];
-        const double mean = static_cast<double>(total) / members;
-        const std::uint64_t at = mix((v.what.key ^ kRingSeed) + split(v, members));
+        const double mean = static_cast<double>(outs_[static_cast<std::size_t>(zone)]) / members;
+        const std::uint32_t at = spot((v.what.key ^ kRingSeed) + split(v, members));
         auto p = std::lower_bound(ring.begin(), ring.end(), at,
-                                  [](const Point& x, std::uint64_t key) { return x.at < key; });
+                                  [](const Point& x, std::uint32_t key) { return x.at < key; });
         ++walk_turn_;
         int passed = -1;
         int jammed = 0;
@@ -486,7 +519,8 @@
             ++seen;
             if (!may_forward(v, p->cache, now)) continue;
             if (!last_resort && tried(v, p->cache)) continue;
-            if (!welcome_cold(c, v, now)) continue;
+            // What load displaces does not land on a cold cache: it would come on top of its share.
+            if (!welcome_cold(c, v, zone, now, jammed > 0 || passed >= 0)) continue;
             if (!last_resort && !within_kind_share(c, v)) continue;
             if (!last_resort && !healthy(c, now) && !trial_due(c, v, now)) continue;
             if (!c.gate.open(c.out, now)) {
@@ -595,9 +629,15 @@
     }
 
     // The same keys at every node, more of them as it warms; and this node's part of rule 4's budget.
-    bool welcome_cold(Cache& c, const Invocation& v, double now) {
-        const double warm = warmth(c, now);
+    bool welcome_cold(Cache& c, const Invocation& v, int zone, double now, bool displaced) {
+        double warm = warmth(c, now);
         if (warm >= 1) return true;
+        if (displaced) return false;
+        // A zone with few caches left gives each more than its even share of all: the first that come back
+        // cold would have the whole zone's traffic.
+        const int zones = zone == pooled() ? 1 : pooled();
+        warm *= std::min(
+            1.0, static_cast<double>(zones * members_[static_cast<std::size_t>(zone)]) / members_.back());
         if (unit(mix(v.what.key * 3 ^ c.hash)) >= warm) return false;
         // What warm caches answer, not what they are sent: an overloaded fleet rejects most of that.
         const double capacity = answered_by_warm(now);
@@ -764,6 +804,7 @@
         v.forwards.push_back({cache, now, Fate::out});
         ++v.out;
         ++c.out;
+        count_out(c, 1);
         if (c.out == 1 && c.used == 0 && !c.origin && quotas_ > 0) {
             c.gap = members_.back() * deployment_.nodes / quotas_;  // as if all nodes and caches were alike
         } else if (c.out == 1 && c.used > 0) {
@@ -834,16 +875,7 @@
 
     // ---- the origin ------------------------------------------------------------------------------------
 
-    int origin() const {
-        int best = -1;
-        for (std::size_t i = 0; i < caches_.size(); ++i) {
-            const Cache& c = caches_[i];
-            if (c.origin && c.standing == Standing::ready && (best < 0 || c.hash < hash_of(best))) {
-                best = static_cast<int>(i);
-            }
-        }
-        return best;
-    }
+    int origin() const { return origin_; }
 
     void to_origin(Invocation& v, double now) {
         const int at = origin();
@@ -1011,6 +1043,7 @@
     }
     void close_idle(double now) {
         keep_ = std::min(keep_ * kKeepGrow, worth_keeping());
+        if (keep_ >= most_kept()) return;  // they close by themselves by then
         for (std::size_t i = 0; i < caches_.size(); ++i) {
             Cache& c = caches_[i];
             if (c.connected && c.out == 0 && now - c.used >= keep_) release(c);
@@ -1031,7 +1064,9 @@
     std::ranlux24_base chance_;
     std::vector<Cache> caches_;
     std::vector<std::vector<Point>> rings_;
-    std::vector<int> members_;
+    std::vector<int> members_;  // caches a ring, and forwards out there
+    std::vector<int> outs_;
+    int origin_ = -1;
     std::vector<Invocation> invs_;
     std::vector<Kind> kinds_;
     std::vector<Share> tenants_;
