Where a node's part of the cold budget is under one forward, nodes take turns by hash

Cause: at 1,790 nodes no count and no sample shows a key that is two even shares of one cache; let in by its hash, it went to the cold cache whole. Below one forward a node the hash now takes the node in, so each key sends the cold cache only a part.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -638,11 +638,13 @@
         const int zones = zone == pooled() ? 1 : pooled();
         warm *= std::min(
             1.0, static_cast<double>(zones * members_[static_cast<std::size_t>(zone)]) / members_.back());
-        if (unit(mix(v.what.key * 3 ^ c.hash)) >= warm) return false;
         // What warm caches answer, not what they are sent: an overloaded fleet rejects most of that.
-        const double capacity = answered_by_warm(now);
-        return c.cold_sent.count(now) <
-               std::max(kColdBudget * deployment_.fall_multiple * warm * capacity, 1.0);
+        const double budget = kColdBudget * deployment_.fall_multiple * warm * answered_by_warm(now);
+        // With many nodes each one's part is under one forward, and no count holds it: there the nodes take
+        // turns by hash, or one key that is hotter than any of them can see would be the cold cache's alone.
+        const std::uint64_t turn = budget < 1 ? mix(static_cast<std::uint64_t>(deployment_.node)) : 0;
+        if (unit(mix(v.what.key * 3 ^ c.hash ^ turn)) >= warm) return false;
+        return c.cold_sent.count(now) < std::max(budget, 1.0);
     }
     // Answers to this node in one fall time of a warm cache, on average: this node's part of its capacity.
     double answered_by_warm(double now) {
