--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -31,8 +31,7 @@
 constexpr double kRestart = 3.0;  // s of silence that may hide a restart; less is a jam
 
 constexpr double kRetryPart = 0.2;  // further forwards earned by each invocation
-constexpr double kRetryMost = 100;  // and saved up at the most by all nodes, five at least: one short
-                                    // outage, not a storm
+constexpr double kRetryMost = 100;  // and saved up at the most by all nodes: one short outage, not a storm
 constexpr double kRetryLeast = 2;   // and by one node, where there are many
 
 constexpr double kColdSafety = 0.8;  // part of the guaranteed warm-up that is used
@@ -90,9 +89,7 @@
 
 std::uint64_t hash_name(std::string_view name) {
     std::uint64_t h = kRingSeed;
-    for (unsigned char c : name) {
-        h = (h ^ c) * 0x100000001b3ULL;
-    }
+    for (unsigned char c : name) h = (h ^ c) * 0x100000001b3ULL;
     return mix(h);
 }
 
@@ -274,12 +271,11 @@
             const double start = e.started > 0 ? e.started : -1e9;
             if (start > c.cold_since + 0.001 || c.hash == 0) {
                 // A process that started anew has none of the faults, and none of the memory, of the old one.
-                const int out = c.out;
-                const int ring = c.ring;
-                c = Cache{};
-                c.out = out;
-                c.ring = ring;
-                c.cold_since = start;
+                Cache fresh;
+                fresh.out = c.out;
+                fresh.ring = c.ring;
+                fresh.cold_since = start;
+                c = fresh;
             }
             c.cold_sent.span(deployment_.fall_time);
             c.hash = hash_name(e.name);
@@ -300,7 +296,7 @@
         update_rings();
         if (kind == ListKind::disk) {
             // What is on disk may be old in every line, so the list is asked for before anything else.
-            if (deployment_.ask_for_list) ask_for_list();
+            if (deployment_.ask_for_list) host_.watch_list();
         } else {
             list_failures_ = 0;
         }
@@ -338,7 +334,7 @@
             close(v);
             return;
         }
-        if (a.write && origin() >= 0) {
+        if (a.write && origin_ >= 0) {
             to_origin(v, now);
         } else {
             to_cache(v, now);
@@ -365,9 +361,7 @@
             v.open = false;
             leave_wait(v);
         }
-        if (c.origin) {
-            origin_ended(v, ending, took, now);
-        }
+        if (c.origin) origin_ended(v, ending, took, now);
         if (!v.open || v.streaming) return;
         if (ending == Ending::miss && !c.origin) {
             if (v.missed_at < 0) v.missed_at = at;
@@ -394,7 +388,7 @@
     void woken(double now, std::uint64_t token) override {
         const auto kind = static_cast<Timer>(token >> 56);
         if (kind == Timer::list) {
-            ask_for_list();
+            host_.watch_list();
         } else if (kind == Timer::origin) {
             next_from_queue(now);
         } else if (kind == Timer::expiry) {
@@ -437,7 +431,6 @@
         return (static_cast<std::uint64_t>(kind) << 56) |
                (static_cast<std::uint64_t>(turn & 0xffffffU) << 32) | static_cast<std::uint32_t>(inv);
     }
-    void ask_for_list() { host_.watch_list(); }
 
     // ---- the ring -------------------------------------------------------------------------------------
 
@@ -519,8 +512,7 @@
             ++seen;
             if (!may_forward(v, p->cache, now)) continue;
             if (!last_resort && tried(v, p->cache)) continue;
-            // What load displaces does not land on a cold cache: it would come on top of its share.
-            if (!welcome_cold(c, v, zone, now, jammed > 0 || passed >= 0)) continue;
+            if (!welcome_cold(c, v, zone, now)) continue;
             if (!last_resort && !within_kind_share(c, v)) continue;
             if (!last_resort && !healthy(c, now) && !trial_due(c, v, now)) continue;
             if (!c.gate.open(c.out, now)) {
@@ -629,10 +621,9 @@
     }
 
     // The same keys at every node, more of them as it warms; and this node's part of rule 4's budget.
-    bool welcome_cold(Cache& c, const Invocation& v, int zone, double now, bool displaced) {
+    bool welcome_cold(Cache& c, const Invocation& v, int zone, double now) {
         double warm = warmth(c, now);
         if (warm >= 1) return true;
-        if (displaced) return false;
         // A zone with few caches left gives each more than its even share of all: the first that come back
         // cold would have the whole zone's traffic.
         const int zones = zone == pooled() ? 1 : pooled();
@@ -815,16 +806,14 @@
         }
         c.connected = true;
         if (c.unanswered == 0) c.unanswered = now;
-        if (!c.origin) {
-            c.cold_sent.add(now, 1);
-        }
+        if (!c.origin) c.cold_sent.add(now, 1);
         host_.forward(v.what.inv, cache, limit);
     }
 
     void to_cache(Invocation& v, double now) {
         const int cache = choose(v, now);
         if (cache < 0) {
-            if (!v.what.write && origin() >= 0 && members_.back() == 0) {
+            if (!v.what.write && origin_ >= 0 && members_.back() == 0) {
                 to_origin(v, now);
             } else {
                 close(v);
@@ -877,10 +866,8 @@
 
     // ---- the origin ------------------------------------------------------------------------------------
 
-    int origin() const { return origin_; }
-
     void to_origin(Invocation& v, double now) {
-        const int at = origin();
+        const int at = origin_;
         if (at < 0 || !may_forward(v, at, now)) {
             if (v.out == 0) close(v);
             return;
