--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -631,9 +631,11 @@
             1.0, static_cast<double>(zones * members_[static_cast<std::size_t>(zone)]) / members_.back());
         // What warm caches answer, not what they are sent: an overloaded fleet rejects most of that.
         const double budget = kColdBudget * deployment_.fall_multiple * warm * answered_by_warm(now);
-        // With many nodes each one's part is under one forward, and no count holds it: there the nodes take
-        // turns by hash, or one key that is hotter than any of them can see would be the cold cache's alone.
-        const std::uint64_t turn = budget < 1 ? mix(static_cast<std::uint64_t>(deployment_.node)) : 0;
+        // With many nodes each one's part is under one forward and no count holds it; and with many caches a
+        // key too rare for a node to see as hot may alone push one over. There the nodes take turns by hash.
+        const bool unseen = budget < 1 && kHotLeast * members_.back() * kColdSafety >
+                                              kHotSample * deployment_.fall_multiple * warm;
+        const std::uint64_t turn = unseen ? mix(static_cast<std::uint64_t>(deployment_.node)) : 0;
         if (unit(mix(v.what.key * 3 ^ c.hash ^ turn)) >= warm) return false;
         return c.cold_sent.count(now) < std::max(budget, 1.0);
     }
