--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -36,6 +36,8 @@
 
 constexpr double kColdSafety = 0.8;  // part of the guaranteed warm-up that is used
 constexpr double kColdBudget = 0.6;  // part of this node's even share of rule 4's budget that is used
+constexpr double kEvenLoad =
+    0.5;  // of its capacity, that an even share of all keys is taken to bring a cache
 
 constexpr int kDisplaced = 1;        // closed gates that a key passes before it is throttled
 constexpr double kJamStrain = 0.55;  // part of strained endings from which it passes none: all are full
@@ -96,7 +98,6 @@
 double unit(std::uint64_t x) { return static_cast<double>(x >> 11) * 0x1.0p-53; }
 
 constexpr double kPaceSpan = 4.0;
-
 // Sums over the last few seconds, in eight buckets of time used again in a ring.
 class Meter {
   public:
@@ -633,7 +634,7 @@
         const double budget = kColdBudget * deployment_.fall_multiple * warm * answered_by_warm(now);
         // With many nodes each one's part is under one forward and no count holds it; and with many caches a
         // key too rare for a node to see as hot may alone push one over. There the nodes take turns by hash.
-        const bool unseen = budget < 1 && kHotLeast * members_.back() * kColdSafety >
+        const bool unseen = budget < 1 && kHotLeast * members_.back() * kEvenLoad >
                                               kHotSample * deployment_.fall_multiple * warm;
         const std::uint64_t turn = unseen ? mix(static_cast<std::uint64_t>(deployment_.node)) : 0;
         if (unit(mix(v.what.key * 3 ^ c.hash ^ turn)) >= warm) return false;
@@ -656,8 +657,7 @@
     // keys, the same ones at every node with that share. Nobody tells speeds, and the list's sizes may
     // mislead.
     bool within_kind_share(const Cache& c, const Invocation& v) const {
-        const double share = kinds_[static_cast<std::size_t>(c.kind)].share;
-        return share >= 1 || unit(mix(v.what.key * 5 ^ c.hash)) < share;
+        return unit(mix(v.what.key * 5 ^ c.hash)) < kinds_[static_cast<std::size_t>(c.kind)].share;
     }
     void weigh_kinds(double now) {
         double least = 1;
@@ -883,7 +883,7 @@
                 return;
             }
         }
-        if (origin_open(now)) {
+        if (origin_gate_.open(origin_out_, now)) {
             fetch_now(v, at, now);
         } else if (origin_wait(now) < v.useful - now) {
             queue_.push_back(v.what.inv);
@@ -893,7 +893,6 @@
         }
     }
 
-    bool origin_open(double now) const { return origin_gate_.open(origin_out_, now); }
     // How long a newcomer waits and is then fetched for: one who cannot make it is told so at once.
     double origin_wait(double now) const {
         const double pace = std::max(origin_pace_, 0.01);
@@ -955,7 +954,7 @@
     }
 
     void next_from_queue(double now) {
-        while (origin_open(now) && !queue_.empty()) {
+        while (origin_gate_.open(origin_out_, now) && !queue_.empty()) {
             // What an answer would still earn first, then whoever has the least time left.
             const auto next = std::min_element(queue_.begin(), queue_.end(), [this, now](int a, int b) {
                 const Invocation& x = invs_[static_cast<std::size_t>(a)];
