--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -233,7 +233,7 @@
     bool streaming = false;
     bool leads = false;
     bool over_share = false;
-    double heat = 0;         // its key's part of this node's invocations, 0 unless it stands out
+    int came = 0;            // how often its key came here lately
     std::uint32_t turn = 0;  // tells a timer's invocation from a later one in the same place
 };
 
@@ -330,7 +330,7 @@
         retries_ = std::min(retries_ + kRetryPart, most_retries_);
         look(now);
         v.over_share = over_share(v, now);
-        v.heat = heat(v.what);
+        v.came = count(v.what);
         if ((v.over_share && draw() < pressure_) || v.useful - now <= 2 * deployment_.tick) {
             close(v);
             return;
@@ -536,11 +536,13 @@
     // Exception: a key hotter than one cache's even share has several points, one drawn for each invocation;
     // with many caches the most popular key alone is more than one of them can carry.
     std::uint64_t split(const Invocation& v, int members) {
-        const int parts = std::min(static_cast<int>(v.heat * members), members);
+        if (v.came < kHotLeast) return 0;
+        const int parts =
+            std::min(v.came * members / std::max(counted_[0] + counted_[1], kHotSample), members);
         return parts > 1 ? chance_() % static_cast<unsigned>(parts) : 0;
     }
     // Counted in two generations, so that a key is hot only while it is asked for.
-    double heat(const Arrival& a) {
+    int count(const Arrival& a) {
         if (!a.has_key || a.write) return 0;
         if (++counted_[0] > kHotSample) {
             std::swap(counts_[0], counts_[1]);
@@ -548,10 +550,7 @@
             counted_ = {1, counted_[0] - 1};
         }
         const auto old = counts_[1].find(a.key);
-        const int count = ++counts_[0][a.key] + (old == counts_[1].end() ? 0 : old->second);
-        return count < kHotLeast
-                   ? 0
-                   : static_cast<double>(count) / std::max(counted_[0] + counted_[1], kHotSample);
+        return ++counts_[0][a.key] + (old == counts_[1].end() ? 0 : old->second);
     }
 
     int pooled() const { return static_cast<int>(rings_.size()) - 1; }
@@ -632,12 +631,12 @@
             1.0, static_cast<double>(zones * members_[static_cast<std::size_t>(zone)]) / members_.back());
         // What warm caches answer, not what they are sent: an overloaded fleet rejects most of that.
         const double budget = kColdBudget * deployment_.fall_multiple * warm * answered_by_warm(now);
+        if (unit(mix(v.what.key * 3 ^ c.hash)) >= warm) return false;
         // With many nodes each one's part is under one forward and no count holds it; and with many caches a
-        // key too rare for a node to see as hot may alone push one over. There the nodes take turns by hash.
-        const bool unseen = budget < 1 && kHotLeast * members_.back() * kEvenLoad >
-                                              kHotSample * deployment_.fall_multiple * warm;
-        const std::uint64_t turn = unseen ? mix(static_cast<std::uint64_t>(deployment_.node)) : 0;
-        if (unit(mix(v.what.key * 3 ^ c.hash ^ turn)) >= warm) return false;
+        // key too rare for a node to see as hot may alone push one over: what came more than once stays away.
+        if (v.came > 1 && budget < 1 &&
+            kHotLeast * members_.back() * kEvenLoad > kHotSample * deployment_.fall_multiple * warm)
+            return false;
         return c.cold_sent.count(now) < std::max(budget, 1.0);
     }
     // Answers to this node in one fall time of a warm cache, on average: this node's part of its capacity.
