--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -73,6 +73,7 @@
 constexpr double kKindDown = 0.02;   // at each look; down in seconds,
 constexpr double kKindUp = 0.005;    // back slowly, as with reach; half these steps gained less
 constexpr double kKindLeast = 0.4;   // machines further apart than that are a fault, not a kind
+constexpr int kKindsMost = 64;       // further ones share the last row, however the list numbers them
 
 constexpr double kReachStrain = 0.2;  // part of strained endings from which more keys reach out
 constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
@@ -281,7 +282,7 @@
             c.hash = hash_name(e.name);
             c.zone = std::clamp(e.zone, 0, pooled() - 1);
             c.cell = e.cell;
-            c.kind = std::max(e.kind, 0);
+            c.kind = std::clamp(e.kind, 0, kKindsMost - 1);
             if (c.kind >= static_cast<int>(kinds_.size()))
                 kinds_.resize(static_cast<std::size_t>(c.kind) + 1);
             c.origin = deployment_.origin_kind >= 0 && e.kind == deployment_.origin_kind;
