--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -32,21 +32,22 @@
 
 constexpr double kRetryPart = 0.2;  // further forwards earned by each invocation
 constexpr double kRetryMost = 100;  // and saved up at the most by all nodes: one short outage, not a storm
-constexpr double kRetryLeast = 2;   // and by one node, where there are many
+constexpr double kRetryLeast = 2;   // and by one node, where there are many;
+constexpr double kRetryNode = 20;   // at the most, where there are few
 
 constexpr double kColdSafety = 0.8;  // part of the guaranteed warm-up that is used
 constexpr double kColdBudget = 0.6;  // part of this node's even share of rule 4's budget that is used
-constexpr double kEvenLoad =
-    0.5;  // of its capacity, that an even share of all keys is taken to bring a cache
+constexpr double kEvenLoad = 0.5;    // of its capacity, taken for what an even share of keys brings it
 
 constexpr int kDisplaced = 1;        // closed gates that a key passes before it is throttled
 constexpr double kJamStrain = 0.55;  // part of strained endings from which it passes none: all are full
 constexpr int kJammed = -2;          // no cache, for load alone
 
-constexpr double kOriginStart = 16;  // forwards of all nodes at the origin at first: it is shared and slow
-constexpr double kCacheStart = 16;   // and at a cache; both settle within seconds
-constexpr double kGentleCut = 0.8;   // of the limit left when answers turn slow
-constexpr double kHardCut = 0.5;     // and when forwards fail
+constexpr double kOriginStart = 16;     // forwards of all nodes at the origin at first: it is shared and slow
+constexpr double kOriginStartNode = 4;  // and of one at the most
+constexpr double kCacheStart = 16;      // and at a cache; both settle within seconds
+constexpr double kGentleCut = 0.8;      // of the limit left when answers turn slow
+constexpr double kHardCut = 0.5;        // and when forwards fail
 constexpr double kLimitLeast = 1;
 constexpr double kLimitMost = 64;
 constexpr double kPause = 0.1;  // s without a forward after a failure at the least limit; doubles
@@ -75,7 +76,7 @@
 constexpr double kKindLeast = 0.4;   // machines further apart than that are a fault, not a kind
 constexpr int kKindsMost = 64;       // further ones share the last row, however the list numbers them
 
-constexpr double kReachStrain = 0.2;  // part of strained endings from which more keys reach out
+constexpr double kReachStrain = 0.4;  // part of strained endings from which more keys reach out
 constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
 constexpr double kReachDown = 0.01;   // back in half a minute, or copies would be torn again and again
 
@@ -254,9 +255,10 @@
           tenants_(deployment.tenants.size()) {
         for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
         for (const Tenant& t : deployment.tenants) quotas_ += t.quota;
-        most_retries_ = std::clamp(kRetryMost / std::max(1, deployment.nodes), kRetryLeast, kRetryMost / 5);
+        most_retries_ = std::clamp(kRetryMost / std::max(1, deployment.nodes), kRetryLeast, kRetryNode);
         retries_ = most_retries_ / 2;
-        origin_gate_.limit = std::clamp(kOriginStart / std::max(1, deployment.nodes), kLimitLeast, 4.0);
+        origin_gate_.limit =
+            std::clamp(kOriginStart / std::max(1, deployment.nodes), kLimitLeast, kOriginStartNode);
         first_time_left_.resize(deployment.operations.size());
         for (const Operation& op : deployment.operations) {
             origin_target_ = std::min(origin_target_, kOriginPart * op.latency_objective);
@@ -642,17 +644,16 @@
     double answered_by_warm(double now) {
         int answers = 0, caches = 0;
         for (Cache& c : caches_) {
-            if (c.origin || c.standing != Standing::ready || warmth(c, now) < 1 || c.pace.count(now) == 0)
-                continue;
-            answers += c.pace.count(now);
-            ++caches;
+            if (c.origin || c.standing != Standing::ready || warmth(c, now) < 1) continue;
+            const int n = c.pace.count(now);
+            answers += n;
+            caches += n > 0 ? 1 : 0;
         }
         return caches == 0 ? 0 : deployment_.fall_time * answers / caches / kPaceSpan;
     }
 
-    // Exception: machines of one kind that strain more than those of another take a lesser share of their
-    // keys, the same ones at every node with that share. Nobody tells speeds, and the list's sizes may
-    // mislead.
+    // Exception: machines of one kind that strain more than another take a lesser share of their keys, the
+    // same ones at every node with that share. Nobody tells speeds, and the list's sizes may mislead.
     bool within_kind_share(const Cache& c, const Invocation& v) const {
         return unit(mix(v.what.key * 5 ^ c.hash)) < kinds_[static_cast<std::size_t>(c.kind)].share;
     }
@@ -1008,7 +1009,7 @@
         strained_ = endings_.mean(now);
         // One second of a node with little traffic is chance, and shedding by chance spares the greedy.
         const double steady = endings_.count(now) < kEnough ? more_endings_.mean(now) : strained_;
-        const bool tight = strained_ > 2 * kReachStrain || !queue_.empty();
+        const bool tight = strained_ > kReachStrain || !queue_.empty();
         reach_ = std::clamp(reach_ + (tight ? kReachUp : -kReachDown), 0.0, 1.0);
         pressure_ = std::clamp(pressure_ + (steady > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
         std::vector<double> parts;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -163,14 +163,14 @@
         }
         assert(there >= c.least && there <= c.most);
     }
+    Fleet warm(200);
+    warm.start();
+    const int home = warm.owner(77);
     int nodes = 0;
     for (int n = 0; n < 200; ++n) {
         Fleet fleet(200);
         fleet.deployment.nodes = 1000;
         fleet.deployment.node = n;
-        Fleet warm(200);
-        warm.start();
-        const int home = warm.owner(77);
         fleet.list[static_cast<std::size_t>(home)].started = 100;
         fleet.start();
         nodes += fleet.owner(77) == home;
