SIGHUP reads the configuration again; a new discovery is asked at once for its whole list

Now the file is read again by the same checks: a wrong one is logged with its key and the old stays; a new discovery replaces the old one's open watch and is asked without a version. The test fails without the handler (the node is gone).

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,23 @@
 
 namespace {
 
+// What a signal's handler needs.
+struct Running {
+    const std::string& path;
+    brookrelay::Log& log;
+    brookrelay::Node& node;
+};
+
+// A file that is wrong must not cost the service that an older one keeps up.
+void read_again(const Running& running) {
+    try {
+        running.node.reload(brookrelay::read_station(running.path));
+    } catch (const brookrelay::BadInput& bad) {
+        running.log.line(brookrelay::Topic::node,
+                         "new configuration not taken, the old one stays: " + std::string(bad.what()));
+    }
+}
+
 int run(const std::string& path) {
     brookrelay::Station station;
     try {
@@ -22,17 +39,23 @@
     }
     brookrelay::Log log(station.name);
     brookrelay::Node node(station, log);
+    Running running{path, log, node};
+    const auto told_to_end = [](gpointer self) -> gboolean {
+        static_cast<Running*>(self)->node.wind_down();
+        return G_SOURCE_CONTINUE;
+    };
+    const auto told_to_read = [](gpointer self) -> gboolean {
+        read_again(*static_cast<Running*>(self));
+        return G_SOURCE_CONTINUE;
+    };
+    g_unix_signal_add(SIGTERM, told_to_end, &running);
+    g_unix_signal_add(SIGINT, told_to_end, &running);
+    g_unix_signal_add(SIGHUP, told_to_read, &running);
     std::string complaint;
     if (!node.start(complaint)) {
         std::fprintf(stderr, "brookrelay: field 'listen': %s\n", complaint.c_str());
         return 1;
     }
-    const auto told_to_end = [](gpointer self) -> gboolean {
-        static_cast<brookrelay::Node*>(self)->wind_down();
-        return G_SOURCE_CONTINUE;
-    };
-    g_unix_signal_add(SIGTERM, told_to_end, &node);
-    g_unix_signal_add(SIGINT, told_to_end, &node);
     log.line(brookrelay::Topic::node, "serves on " + station.listen);
     while (!node.done()) {
         g_main_context_iteration(nullptr, node.has_work() ? FALSE : TRUE);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -35,6 +35,17 @@
     call();
 }
 
+void Discovery::move_to(const std::string& address) {
+    if (address == address_) return;
+    address_ = address;
+    version_ = kNone;
+    retry_after_ = kRetryLeast;
+    if (stream_ != nullptr) hang_up();
+    timers_.call_off(next_);
+    watching_ = true;
+    call();
+}
+
 void Discovery::call() {
     if (stream_ == nullptr || !stream_->up()) connect();
     calling_ = true;
@@ -94,17 +105,27 @@
     told_(std::move(list));
     if (!response.keep_open) stream_->close();
     // From the loop, not from inside the stream that the call may replace.
-    timers_.at(monotonic(), [this] { call(); });
+    next_ = timers_.at(monotonic(), [this] {
+        next_ = {};
+        call();
+    });
 }
 
-void Discovery::failed(const std::string& why) {
-    log_.line(Topic::discovery, "call failed: " + why);
+void Discovery::hang_up() {
     calling_ = false;
     timers_.call_off(limit_);
     stream_->close();
+}
+
+void Discovery::failed(const std::string& why) {
+    log_.line(Topic::discovery, "call failed: " + why);
+    hang_up();
     watching_ = false;
     if (asks_) return tell_failed_();
-    timers_.at(monotonic() + retry_after_, [this] { watch(); });
+    next_ = timers_.at(monotonic() + retry_after_, [this] {
+        next_ = {};
+        watch();
+    });
     retry_after_ = std::min(2 * retry_after_, kRetryMost);
 }
 
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -22,17 +22,20 @@
 
     Discovery(Timers& timers, Log& log, const Station& station, Told told, Failed failed);
     void watch();  // does nothing while a watch is on
+    // Asks there from now on, at once and for the whole list: another discovery counts its versions anew.
+    void move_to(const std::string& address);
 
   private:
     void call();
     void connect();
+    void hang_up();
     void news(Stream::News what);
     void read_answer();
     void failed(const std::string& why);
 
     Timers& timers_;
     Log& log_;
-    const std::string address_;
+    std::string address_;
     const Names names_;
     const bool asks_;  // lists come only when asked for, and the module decides when to ask again
     Told told_;
@@ -42,6 +45,7 @@
     bool calling_ = false;
     bool watching_ = false;
     Timers::Handle limit_;
+    Timers::Handle next_;  // the next call, or the next try
     double retry_after_;
 };
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -78,6 +78,11 @@
     clients_.sweep();
 }
 
+void Node::reload(const Station& station) {
+    log_.line(Topic::node, "configuration read again: discovery at " + station.discovery);
+    discovery_.move_to(station.discovery);
+}
+
 // ---- what comes in -----------------------------------------------------------------------------------
 
 void Node::asked(const Clients::Asker& asker, Command&& command) {
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -28,6 +28,7 @@
     bool start(std::string& complaint);  // listens: from here on it can serve
     void turn();
     bool has_work() const { return !inbox_.empty(); }
+    void reload(const Station& station);  // takes the keys that may change while it runs
     void wind_down();
     bool done() const { return done_; }
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -17,8 +17,10 @@
 #include <cstdlib>
 #include <fstream>
 #include <functional>
+#include <iterator>
 #include <list>
 #include <mutex>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
@@ -239,25 +241,29 @@
         char path[] = "/tmp/brookrelay_node_XXXXXX";
         close(mkstemp(path));
         path_ = path;
+        log_ = path_ + ".log";
         std::string hosts = around.aside ? entry("origin", origin, "SERVING") : "";
         for (StandIn& c : caches) hosts += (hosts.empty() ? "" : ",") + entry(name(c), c, "SERVING");
-        std::ofstream(path_)
-            << R"({"name":"n1","listen":")" << loopback() << ":" << port_ << R"(","discovery":")"
-            << discovery.address() << R"(","seed":"1f","limits":{"sockets":)" << around.descriptors
-            << R"(},"known":{"seq":7,"whole":true,"hosts":[)" << hosts
-            << R"(]},"settings":{"az":0,"balancers":2,"localities":["a"],"kinds":["m","origin"],
+        std::ostringstream told;
+        told << R"({"name":"n1","listen":")" << loopback() << ":" << port_ << R"(","discovery":")"
+             << discovery.address() << R"(","seed":"1f","limits":{"sockets":)" << around.descriptors
+             << R"(},"known":{"seq":7,"whole":true,"hosts":[)" << hosts
+             << R"(]},"settings":{"az":0,"balancers":2,"localities":["a"],"kinds":["m","origin"],
  "discovery":"pushed","granularity_us":5000,"guarantees":{"grace_to_answer_us":20000},
  "permissions":{"cancel":true,"most_forwards":5,"connect_timeout_us":)"
-            << around.connect_timeout_ms << R"(000,"conn_idle_us":15000000},
+             << around.connect_timeout_ms << R"(000,"conn_idle_us":15000000},
  "specifics":{"mode":")"
-            << (around.aside ? "aside" : "through") << R"(","origin_kind":1},"operations":[
+             << (around.aside ? "aside" : "through") << R"(","origin_kind":1},"operations":[
  {"name":"read","repeat":"idempotent","client_timeout_us":2000000,"latency_objective_us":1000000,
   "tardy_billed_value":0.2},
  {"name":"put","repeat":"deduplicated","group":"all","key_ttl_us":3000000,"client_timeout_us":2000000}]}})";
+        told_ = told.str();
+        configure(told_);
         pid_ = fork();
         if (pid_ == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that fails must leave no node behind
             setenv("GW_CONFIG", path_.c_str(), 1);
+            std::freopen(log_.c_str(), "w", stderr);
             execl(BROOKRELAY_PROGRAM, BROOKRELAY_PROGRAM, nullptr);
             _exit(127);
         }
@@ -272,6 +278,7 @@
             waitpid(pid_, nullptr, 0);
         }
         std::remove(path_.c_str());
+        std::remove(log_.c_str());
     }
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
@@ -284,6 +291,18 @@
     }
     int port() const { return port_; }
     void signal(int number) const { kill(pid_, number); }
+    void configure(const std::string& text) const { std::ofstream(path_) << text; }
+    // The configuration with one of its texts in another's place.
+    std::string told_with(const std::string& from, const std::string& to) const {
+        std::string text = told_;
+        const std::size_t at = text.find(from);
+        assert(at != std::string::npos);
+        return text.replace(at, from.size(), to);
+    }
+    bool logged(const std::string& text) const {
+        std::ifstream file(log_);
+        return std::string(std::istreambuf_iterator<char>(file), {}).find(text) != std::string::npos;
+    }
     bool alive() const { return waitpid(pid_, nullptr, WNOHANG) == 0; }
     int exit_code() {
         int status = 0;
@@ -304,7 +323,7 @@
   private:
     int port_ = 0;
     pid_t pid_ = 0;
-    std::string path_;
+    std::string path_, log_, told_;
 };
 
 void a_hit_goes_to_one_cache_and_back() {
@@ -490,6 +509,36 @@
     assert(fleet.caches.front().heard().empty());
 }
 
+// SIGHUP used to end the node. A new discovery is asked at once, though the old one holds a watch open, and
+// for everything, since its versions are its own.
+void a_new_configuration_is_taken_while_it_serves() {
+    Fleet fleet(2);
+    StandIn& kept = fleet.caches.back();
+    StandIn other(true);
+    std::atomic<bool> told{false};
+    const std::string whole =
+        R"({"seq":1,"whole":true,"hosts":[)" + Fleet::entry(Fleet::name(kept), kept, "SERVING") + "]}";
+    other.plays([&](const std::string& request) {
+        const bool versioned = request.find("index=") != std::string::npos;
+        told = told || versioned;
+        return versioned ? Act{} : Act{http(whole)};
+    });
+    wait_for([&] { return fleet.discovery.heard().size() == 1; });
+    fleet.configure(fleet.told_with("\"pushed\"", "\"never\""));
+    fleet.signal(SIGHUP);
+    wait_for([&] { return fleet.logged("the old one stays: in 'settings': field 'discovery'"); });
+    assert(fleet.ask(read_of("7f3a", "h1")) == "VA 5 Oh1\r\n" && fleet.alive());
+    fleet.configure(fleet.told_with(fleet.discovery.address(), other.address()));
+    fleet.signal(SIGHUP);
+    wait_for([&] { return told.load() && fleet.discovery.ended == 1; });
+    assert(other.heard().front().starts_with("GET /discovery/hosts HTTP/1.1\r\n"));
+    for (int k = 0; k < 10; ++k) {
+        const std::string id = "n" + std::to_string(k);
+        assert(fleet.ask(read_of("k" + std::to_string(k), id)) == "VA 5 O" + id + "\r\n");
+    }
+    assert(fleet.caches.front().heard().size() <= 1);  // what it served before
+}
+
 // A connection that is not up when a drain is told would begin its forward after it.
 void a_drain_takes_back_what_is_not_connected() {
     std::string news;
@@ -625,6 +674,7 @@
     who_leaves_is_not_worked_for();
     a_drain_is_kept_from_when_it_is_told();
     a_discovery_that_lost_its_versions_is_asked_for_everything();
+    a_new_configuration_is_taken_while_it_serves();
     a_drain_takes_back_what_is_not_connected();
     split_and_pipelined_commands();
     malformed_commands();
