--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -88,9 +88,14 @@
 void Node::asked(const Clients::Asker& asker, Command&& command) {
     const int operation = index_of(station_.names.operations, command.properties.operation);
     const bool full = station_.most_open > 0 && open_ >= station_.most_open;
-    if (operation < 0 || full) {
-        // Neither has been given to the module: the one cannot be named to it, the other may not be held.
-        const std::string text = full ? busy_text(0) : "CLIENT_ERROR unknown operation\r\n";
+    // Servers tell invocations apart by their ids alone: with one that is still open the answer made for the
+    // one client would be taken for the other's.
+    const bool taken = open_ids_.contains(command.id);
+    if (operation < 0 || taken || full) {
+        // None has been given to the module: it may not be held, or cannot be named.
+        const std::string text = operation < 0 ? "CLIENT_ERROR unknown operation\r\n"
+                                 : taken       ? "CLIENT_ERROR id in use\r\n"
+                                               : busy_text(0);
         inbox_.emplace_back([this, asker, text](double) { clients_.answer(asker, text); });
         return;
     }
@@ -101,6 +106,7 @@
     const int inv = free_.back();
     free_.pop_back();
     ++open_;
+    open_ids_.insert(command.id);
     const double due = monotonic() + command.properties.time_left;
     invocation(inv) = {asker, std::move(command), due, 0, 0, false, {}};
     inbox_.emplace_back([this, inv, operation](double now) { arrived(now, inv, operation); });
@@ -258,6 +264,7 @@
     if (v.over) return;
     v.over = true;
     --open_;
+    open_ids_.erase(v.command.id);
     timers_.call_off(v.overdue);
     to_settle_.push_back(inv);
 }
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "balancer.h"
@@ -81,6 +82,7 @@
     std::vector<Invocation> invocations_;
     std::vector<int> free_;
     int open_ = 0;
+    std::unordered_set<std::string> open_ids_;
     std::unordered_map<std::string, int> cache_index_;
     std::vector<ListedServer> servers_;  // as last told, by cache
     double winding_down_since_ = 0;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -618,6 +618,23 @@
     assert(fleet.alive());
 }
 
+// Seen on the bench: served with a value made for another client's invocation.
+void an_id_still_open_is_refused() {
+    Fleet fleet(1);
+    std::atomic<bool> go{false};
+    fleet.caches.front().plays([&go](const std::string& m) {
+        while (!go) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        return hit(m);
+    });
+    Line first(loopback(), fleet.port());
+    first.send(read_of("1", "same"));
+    wait_for([&] { return fleet.caches.front().heard().size() == 1; });
+    assert(fleet.ask(read_of("2", "same")) == "CLIENT_ERROR id in use\r\n");
+    go = true;
+    assert(first.until("hello\r\n") == "VA 5 Osame\r\nhello\r\n");
+    assert(fleet.ask(read_of("2", "same")) == "VA 5 Osame\r\n");  // not open any more
+}
+
 // Seen on the bench with 80 descriptors: a client that had just connected was taken for an idle one and
 // closed with its command unread.
 void with_all_client_connections_in_use_answered_ones_go() {
@@ -678,6 +695,7 @@
     a_drain_takes_back_what_is_not_connected();
     split_and_pipelined_commands();
     malformed_commands();
+    an_id_still_open_is_refused();
     with_all_client_connections_in_use_answered_ones_go();
     told_to_end_it_serves_on_and_then_ends();
 }
