A spoilt answer is an errored forward, not a reset: it says nothing of load or health

A probe of every forward's end showed 280 of 480 writes within their share throttled with no forward sent, while the origin was idle: its gate was cut and paused. At fault: Pool::read_answer ended nonsense as a reset, and Decisions::adapt_origin and judge() read a reset as a crash or an overload. Protocol: a spoilt answer is a failed forward that may have run.

--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -198,7 +198,8 @@
         const std::string_view in = c.stream->input();
         log_.line(topic(c.cache),
                   server(c.cache).name + ": nonsense, connection closed: " + std::string(in.substr(0, 80)));
-        if (c.busy) return broken(c, Ending::reset);
+        // It has answered, so it is neither silent nor full: only this forward fails, which may have run.
+        if (c.busy) return broken(c, Ending::errored);
         return drop(c);
     }
     c.stream->take(taken);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -432,6 +432,21 @@
     assert(bad_origin.ask(read_of("7f3a", "o1", 600)) == "SERVER_ERROR busy\r\n");
 }
 
+// A server that answers, however spoilt, is neither silent nor full. Taken for resets, such answers shut the gate
+// before a sound origin: on the bench a third of the writes was throttled.
+void spoilt_answers_make_no_suspect() {
+    Fleet fleet(2);
+    assert(fleet.ask(read_of("7f3a", "s0")) == "VA 5 Os0\r\n");
+    StandIn& first = fleet.caches.front();
+    StandIn& owner = first.heard().empty() ? fleet.caches.back() : first;
+    owner.plays([](const std::string&) { return Act{"what?\r\n"}; });
+    for (int n = 1; n <= 5; ++n) {
+        const std::string id = "s" + std::to_string(n);
+        assert(fleet.ask(read_of("7f3a", id)) == "VA 5 O" + id + "\r\n");
+    }
+    assert(owner.heard().size() == 6);  // asked first each time
+}
+
 void a_silent_cache_is_given_up_in_time() {
     Fleet fleet(1);
     fleet.caches.front().plays(silent);
@@ -687,6 +702,7 @@
     where_caches_fetch_for_themselves_writes_go_to_them();
     what_fails_ends_in_one_error_line();
     broken_peers_fail_one_exchange();
+    spoilt_answers_make_no_suspect();
     a_silent_cache_is_given_up_in_time();
     who_leaves_is_not_worked_for();
     a_drain_is_kept_from_when_it_is_told();
