Gone servers are forgotten, stopped clients let go, idle connections checked before use

A whole list that leaves a server out now takes back its unconnected forwards as a told end does. Clients: half a command and silence were never timed out (src/net/clients.cpp knew only make_room()); now 2 s without a byte, 10 s without an answer taken, 30 s idle. Idle connections with unread bytes are dropped at reuse: a second copy of an HTTP answer would pass for the next one's. Buffers give back the room of one large value. The tests fail without each.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -272,8 +272,8 @@
                 caches_.resize(static_cast<std::size_t>(e.cache) + 1);
             Cache& c = caches_[static_cast<std::size_t>(e.cache)];
             const double start = e.started > 0 ? e.started : -1e9;
-            if (start > c.cold_since + 0.001 || c.hash == 0) {
-                // A process that started anew has none of the faults, and none of the memory, of the old one.
+            if (start > c.cold_since + 0.001 || c.hash != hash_name(e.name)) {
+                // Started anew, or another under this number: it has none of the faults or memory of the old.
                 Cache fresh;
                 fresh.out = c.out;
                 fresh.ring = c.ring;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -11,13 +11,21 @@
 constexpr double kAheadPart = 0.25;  // of the connections: commands held at once before each has just one
 constexpr int kAcceptsATurn = 64;
 constexpr double kAcceptPause = 0.05;
-constexpr double kFirstCommand = 2.0;  // s that a new client has for its first command
+constexpr double kFirstBytes = 0.5;  // s in which a new client has not yet had the time to write
+// Descriptors are few, and a client that says nothing or stops halfway keeps one for nothing. Time runs from
+// the last byte: whoever is slow but goes on is served.
+constexpr double kSilent = 2.0;    // s that a new client may say nothing, and any may stop within a command
+constexpr double kIdle = 30.0;     // s between two commands; at the budget the longest idle goes sooner
+constexpr double kUntaken = 10.0;  // s in which a client takes no byte of its answers
+constexpr double kAgeEvery = 0.25;
 constexpr double kLinger = 1.0;  // s; closing with bytes unread would reset what is still on its way out
 
 }  // namespace
 
 Clients::Clients(Timers& timers, Log& log, std::size_t most, Asked asked, Left left)
-    : timers_(timers), log_(log), most_(most), asked_(std::move(asked)), left_(std::move(left)) {}
+    : timers_(timers), log_(log), most_(most), asked_(std::move(asked)), left_(std::move(left)) {
+    age();
+}
 
 Clients::~Clients() { watch_listener(false); }
 
@@ -75,7 +83,7 @@
 // A client may only be parted with between commands: what it has written to an accepted connection counts as
 // taken even while it is unread, and one that has just connected did so to write.
 bool Clients::between_commands(const Client& c) {
-    const bool new_here = c.first == 0 && monotonic() - c.used < kFirstCommand;
+    const bool new_here = c.first == 0 && monotonic() - c.used < kFirstBytes;
     return !c.stream->closed() && c.pending.empty() && !new_here && !c.stream->has_unread();
 }
 
@@ -135,6 +143,41 @@
     return c.pending.empty() || static_cast<double>(held_) < kAheadPart * static_cast<double>(most_);
 }
 
+// One error line behind what is still owed, and no more is read.
+void Clients::turn_away(std::uint64_t id, Client& c, const char* complaint) {
+    log_.line(Topic::client, std::string("turned away: ") + complaint);
+    c.pending.push_back({true, std::string("CLIENT_ERROR ") + complaint + "\r\n"});
+    ++held_;
+    c.last = true;
+    c.stream->take(c.stream->input().size());
+    write_answers(c);
+    close_if_done(id, c);
+}
+
+void Clients::age() {
+    const double now = monotonic();
+    for (auto& [id, c] : clients_) {
+        if (!c.stream->closed()) age(id, c, now);
+    }
+    timers_.at(now + kAgeEvery, [this] { age(); });
+}
+
+void Clients::age(std::uint64_t id, Client& c, double now) {
+    if (c.stream->unwritten() != c.untaken) {
+        c.untaken = c.stream->unwritten();
+        c.untaken_since = now;
+    }
+    if (c.untaken > 0) {
+        if (now - c.untaken_since >= kUntaken) drop(id, c);
+    } else if (c.last || now - c.used < kSilent || !may_hold_another(c)) {
+        return;  // it is being closed, has just been heard, or is not read from
+    } else if (!c.stream->input().empty()) {
+        turn_away(id, c, "incomplete command");
+    } else if (c.pending.empty() && !c.stream->has_unread() && (c.first == 0 || now - c.used >= kIdle)) {
+        drop(id, c);
+    }
+}
+
 void Clients::answer(const Asker& asker, const std::string& text) {
     const auto at = clients_.find(asker.connection);
     if (at == clients_.end() || at->second.stream->closed()) return;
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -50,6 +50,8 @@
         std::deque<Pending> pending;
         std::uint64_t first = 0;  // the number of the command in front
         double used = 0;
+        std::size_t untaken = 0;  // bytes of answers that it had not taken at the last look that saw a change
+        double untaken_since = 0;
         bool last = false;       // nothing more is read from it
         bool finishing = false;  // all is answered, and the client has been told that it was the last
         Timers::Handle linger;
@@ -63,6 +65,9 @@
     void news(std::uint64_t id, Client& c, Stream::News what);
     void read_commands(std::uint64_t id, Client& c);
     void write_answers(Client& c);
+    void turn_away(std::uint64_t id, Client& c, const char* complaint);
+    void age();
+    void age(std::uint64_t id, Client& c, double now);
     void close_if_done(std::uint64_t id, Client& c);
     void drop(std::uint64_t id, Client& c);
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -20,7 +20,8 @@
 constexpr double kBeforeKill = 0.4;
 constexpr double kLook = 0.05;
 
-constexpr double kProbeLimit = 0.5;  // s; a probe has no limit of its own
+constexpr double kForgetEvery = 1.0;  // s between looks, while a server that is gone is not forgotten yet
+constexpr double kProbeLimit = 0.5;   // s; a probe has no limit of its own
 
 std::size_t budget(int descriptors, double part) {
     return static_cast<std::size_t>((descriptors - kDescriptorsKept) * part);
@@ -107,8 +108,9 @@
     free_.pop_back();
     ++open_;
     open_ids_.insert(command.id);
-    const double due = monotonic() + command.properties.time_left;
-    invocation(inv) = {asker, std::move(command), due, 0, 0, false, {}};
+    const double came = monotonic();
+    const double due = came + command.properties.time_left;
+    invocation(inv) = {asker, std::move(command), came, due, 0, 0, false, {}};
     inbox_.emplace_back([this, inv, operation](double now) { arrived(now, inv, operation); });
 }
 
@@ -164,37 +166,102 @@
     to_settle_.push_back(e.inv);
 }
 
+int Node::number_of(const std::string& name) {
+    const auto known = cache_index_.find(name);
+    if (known != cache_index_.end()) return known->second;
+    if (free_numbers_.empty()) {
+        free_numbers_.push_back(static_cast<int>(servers_.size()));
+        servers_.emplace_back();
+    }
+    const int cache = free_numbers_.back();
+    free_numbers_.pop_back();
+    cache_index_.emplace(name, cache);
+    server(cache).name = name;
+    return cache;
+}
+
 void Node::listed(double now, ListKind kind, const ServerList& list) {
     std::vector<Listing> entries;
+    std::unordered_set<int> told_of;
     for (const ListedServer& told : list.servers) {
-        const auto [at, fresh] = cache_index_.try_emplace(told.name, static_cast<int>(servers_.size()));
-        if (fresh) servers_.emplace_back().name = told.name;
-        ListedServer& s = servers_[static_cast<std::size_t>(at->second)];
+        // What is gone and was never known, or is forgotten by now, must not become known by that.
+        if (told.standing == Standing::gone && !cache_index_.contains(told.name)) continue;
+        const int cache = number_of(told.name);
+        told_of.insert(cache);
+        Known& s = server(cache);
         s.standing = told.standing;
         s.born = told.born;
         if (!told.address.empty()) s.address = told.address;
         if (told.zone >= 0) s.zone = told.zone;
         if (told.kind >= 0) s.kind = told.kind;
         if (told.cell >= 0) s.cell = told.cell;
-        Listing l;
-        l.cache = at->second;
-        l.name = at->first;
-        l.zone = s.zone;
-        l.kind = s.kind;
-        l.cell = s.cell;
-        l.standing = s.standing;
-        if (s.born > 0) l.started = std::max(s.born - wall_less_monotonic_, 1e-6);
-        entries.push_back(l);
-        pool_.know(l.cache, s.name, s.address, s.kind >= 0 && s.kind == station_.deployment.origin_kind);
-        if (s.standing != Standing::ready) pool_.withdraw(l.cache);
+        entries.push_back(listing(cache));
+        pool_.know(cache, s.name, s.address, s.kind >= 0 && s.kind == station_.deployment.origin_kind);
+    }
+    for (const auto& [name, cache] : cache_index_) {
+        Known& s = server(cache);
+        if (list.whole && !told_of.contains(cache) && s.standing != Standing::gone) {
+            s.standing = Standing::gone;
+            entries.push_back(listing(cache));
+        }
+        if (s.standing == Standing::ready) {
+            s.gone_since = 0;
+            continue;
+        }
+        pool_.withdraw(cache);
+        if (s.standing == Standing::gone && s.gone_since == 0) s.gone_since = now;
     }
     if (!entries.empty() || list.whole) {
         log_.line(Topic::discovery, "version " + std::to_string(list.version) + ": " +
-                                        std::to_string(entries.size()) + " servers told, " +
-                                        std::to_string(servers_.size()) + " known" +
+                                        std::to_string(list.servers.size()) + " servers told, " +
+                                        std::to_string(cache_index_.size()) + " known" +
                                         (list.whole ? " (whole list)" : ""));
     }
     balancer_->listed(now, kind, entries);
+    forget_gone();
+}
+
+Listing Node::listing(int cache) {
+    const Known& s = server(cache);
+    Listing l;
+    l.cache = cache;
+    l.name = s.name;
+    l.zone = s.zone;
+    l.kind = s.kind;
+    l.cell = s.cell;
+    l.standing = s.standing;
+    if (s.born > 0) l.started = std::max(s.born - wall_less_monotonic_, 1e-6);
+    return l;
+}
+
+// Servers come and go for as long as the node runs, so what is gone must go here too. Its number may stand
+// for another only once nothing that names it can still be heard: an invocation from its time may have a
+// forward out there, or be held to where its first one went.
+void Node::forget_gone() {
+    timers_.call_off(forgetting_);
+    double oldest = monotonic();
+    for (const Invocation& v : invocations_) {
+        if (v.asker.connection != 0) oldest = std::min(oldest, v.came);
+    }
+    bool some_left = false;
+    for (auto at = cache_index_.begin(); at != cache_index_.end();) {
+        const int cache = at->second;
+        const double since = server(cache).gone_since;
+        if (since == 0 || since >= oldest || pool_.in_use(cache)) {
+            some_left = some_left || since > 0;
+            ++at;
+            continue;
+        }
+        pool_.forget(cache);
+        server(cache) = {};
+        free_numbers_.push_back(cache);
+        at = cache_index_.erase(at);
+    }
+    if (!some_left) return;
+    forgetting_ = timers_.at(monotonic() + kForgetEvery, [this] {
+        forgetting_ = {};
+        forget_gone();
+    });
 }
 
 // ---- what the module asks for ------------------------------------------------------------------------
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -47,14 +48,19 @@
     struct Invocation {
         Clients::Asker asker;
         Command command;
+        double came = 0;
         double due = 0;    // when its client stops waiting
         int forwards = 0;  // their number so far, and those without an end
         int out = 0;
         bool over = true;
         Timers::Handle overdue;
     };
+    struct Known : ListedServer {
+        double gone_since = 0;  // 0: it is not gone
+    };
     using Happening = std::function<void(double now)>;
 
+    Known& server(int cache) { return servers_[static_cast<std::size_t>(cache)]; }
     Invocation& invocation(int inv) { return invocations_[static_cast<std::size_t>(inv)]; }
     void asked(const Clients::Asker& asker, Command&& command);
     void left(const Clients::Asker& asker);
@@ -62,6 +68,9 @@
     void ended(double now, Pool::Ended& e);
     void client_left(double now, int inv);
     void listed(double now, ListKind kind, const ServerList& list);
+    int number_of(const std::string& name);
+    Listing listing(int cache);
+    void forget_gone();
     void carry_out_forward(int inv, int number, int cache, double limit);
     void answer(int inv, std::string text);
     void finish(int inv);
@@ -83,8 +92,11 @@
     std::vector<int> free_;
     int open_ = 0;
     std::unordered_set<std::string> open_ids_;
+    // Servers by the small numbers that the module and the pool know them by.
     std::unordered_map<std::string, int> cache_index_;
-    std::vector<ListedServer> servers_;  // as last told, by cache
+    std::deque<Known> servers_;  // names in it are lent to the module while more are added
+    std::vector<int> free_numbers_;
+    Timers::Handle forgetting_;
     double winding_down_since_ = 0;
     bool done_ = false;
 };
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -35,6 +35,13 @@
     s.origin = origin;
 }
 
+bool Pool::in_use(int cache) const {
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [cache](const Connection& c) { return c.cache == cache && !c.stream->closed(); });
+}
+
+void Pool::forget(int cache) { server(cache) = {}; }
+
 Topic Pool::topic(int cache) const {
     return servers_[static_cast<std::size_t>(cache)].origin ? Topic::origin : Topic::cache;
 }
@@ -84,9 +91,11 @@
     c.stream->write(bytes);
 }
 
-// The idle one used last, or a new one; none when the budget is spent.
+// The idle one used last, or a new one; none when the budget is spent. What has come on an idle one belongs
+// to no forward: HTTP names none, so a second copy of the last answer would pass for the next one's.
 Pool::Connection* Pool::connection_to(int cache) {
     auto& idle = server(cache).idle;
+    while (!idle.empty() && idle.back()->stream->has_unread()) drop(*idle.back());
     if (idle.empty() || monotonic() - idle.back()->used >= idle_most_) return open(cache);
     Connection* c = idle.back();
     idle.pop_back();
@@ -190,6 +199,8 @@
     std::size_t taken = 0;
     if (c.busy) taken = parse(c, answer);
     if (c.busy && taken == 0 && !c.stream->full()) return;
+    // An answer that comes before the forward is written whole was made for another, if for any.
+    if (c.busy && answer.ending == Ending::succeeded) answer.sound = answer.sound && c.stream->all_written();
     // A receipt becomes part of a line to the client, which it must not be able to end.
     if (c.busy && answer.ending == Ending::succeeded && !c.read && c.inv != kProbe)
         answer.sound = answer.sound && is_word(answer.body);
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -37,6 +37,8 @@
     Pool(Timers& timers, Log& log, const Deployment& deployment, std::size_t most, Tell tell);
 
     void know(int cache, const std::string& name, const std::string& address, bool origin);
+    bool in_use(int cache) const;  // something of it is still open
+    void forget(int cache);        // only what is not in use: its number may then stand for another server
     void forward(int inv, int forward, int cache, const Command& command, double limit);
     void probe(int cache, double limit);
     void cancel(int inv, int forward);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -3,7 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
-#include <algorithm>
+#include <array>
 #include <utility>
 
 #include "address.h"
@@ -136,6 +136,7 @@
         sent += static_cast<std::size_t>(n);
     }
     out_.erase(0, sent);
+    if (out_.empty() && out_.capacity() > kReadStep) out_.shrink_to_fit();
     if (!out_.empty()) {
         watch(out_source_, G_IO_OUT, &on_socket<&Stream::flush>);
         return;
@@ -152,14 +153,14 @@
 }
 
 void Stream::receive() {
-    const std::size_t before = in_.size();
-    in_.resize(before + kReadStep);
+    std::array<char, kReadStep>
+        room;  // not in the buffer: hundreds of idle ones would each keep a step's room
     GError* error = nullptr;
-    const gssize n = g_socket_receive(socket_.get(), in_.data() + before, kReadStep, nullptr, &error);
+    const gssize n = g_socket_receive(socket_.get(), room.data(), room.size(), nullptr, &error);
     const ErrorRef why(error);
-    in_.resize(before + static_cast<std::size_t>(std::max<gssize>(n, 0)));
     if (n < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) return;
     if (n <= 0) return ended();
+    in_.append(room.data(), static_cast<std::size_t>(n));
     told_(News::input);
     watch_input();
 }
@@ -172,6 +173,8 @@
     taken_ += bytes;
     if (taken_ == in_.size()) {
         in_.clear();
+        if (in_.capacity() > kReadStep)
+            in_.shrink_to_fit();  // one large value must not be paid for ever after
         taken_ = 0;
     } else if (taken_ > kReadStep) {
         in_.erase(0, taken_);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -432,8 +432,8 @@
     assert(bad_origin.ask(read_of("7f3a", "o1", 600)) == "SERVER_ERROR busy\r\n");
 }
 
-// A server that answers, however spoilt, is neither silent nor full. Taken for resets, such answers shut the gate
-// before a sound origin: on the bench a third of the writes was throttled.
+// A server that answers, however spoilt, is neither silent nor full. Taken for resets, such answers shut the
+// gate before a sound origin: on the bench a third of the writes was throttled.
 void spoilt_answers_make_no_suspect() {
     Fleet fleet(2);
     assert(fleet.ask(read_of("7f3a", "s0")) == "VA 5 Os0\r\n");
@@ -524,6 +524,83 @@
     assert(fleet.caches.front().heard().empty());
 }
 
+// Discovery as a test tells it: a watch is answered by the next change, or soon by none.
+class Told {
+  public:
+    StandIn::Script script() {
+        return [this](const std::string& request) {
+            const int held = std::stoi(request.substr(request.find("index=") + 6));
+            asked_ = held;
+            for (int ms = 0; ms < 100 && held >= version_; ++ms)
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            const std::lock_guard lock(mutex_);
+            const std::size_t next = static_cast<std::size_t>(held - kFirst);
+            const std::string hosts = next < news_.size() ? news_[next] : "";
+            return Act{http(R"({"seq":)" + std::to_string(next < news_.size() ? held + 1 : held) +
+                            R"(,"whole":false,"hosts":[)" + hosts + "]}")};
+        };
+    }
+    // And waits until the node has it: its next call says so.
+    void tell(const std::string& hosts) {
+        {
+            const std::lock_guard lock(mutex_);
+            news_.push_back(hosts);
+        }
+        ++version_;
+        wait_for([&] { return asked_ == version_; });
+    }
+
+  private:
+    static constexpr int kFirst = 7;
+    std::atomic<int> version_{kFirst};
+    std::atomic<int> asked_{0};
+    std::mutex mutex_;
+    std::vector<std::string> news_;
+};
+
+// Under its number another server comes to stand; what still comes from the old one must not reach it.
+void gone_servers_are_forgotten() {
+    Told told;
+    Fleet fleet(2, {256, 250, told.script()});
+    StandIn& old = fleet.caches.front();
+    StandIn& fresh = fleet.caches.back();
+    std::atomic<bool> go{false};
+    const auto held = [&go](const std::string& m) {
+        while (id_in(m) == "held" && !go) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        return hit(m);
+    };
+    old.plays(held);
+    const auto deleted = [](const std::string& host) {
+        return R"({"host":")" + host + R"(","health":"DELETED"})";
+    };
+    told.tell(deleted(Fleet::name(fresh)));
+    Line line(loopback(), fleet.port());
+    line.send(read_of("1", "held"));
+    wait_for([&] { return old.heard().size() == 1; });
+    told.tell(deleted(Fleet::name(old)));
+    told.tell(Fleet::entry("next", fresh, "SERVING"));
+    assert(fleet.ask(read_of("1", "n1")) == "VA 5 On1\r\n" && fresh.heard().size() == 1);
+    go = true;
+    assert(line.until("hello\r\n") == "VA 5 Oheld\r\nhello\r\n");
+    for (const char* id : {"n2", "n3"})
+        assert(fleet.ask(read_of("1", id)) == std::string("VA 5 O") + id + "\r\n");
+    assert(fresh.heard().size() == 3 && old.heard().size() == 1);
+    // A new one at the address of one that has gone is met on connections of its own.
+    const int before = fresh.connections;
+    told.tell(deleted("next") + "," + Fleet::entry("after", fresh, "SERVING"));
+    assert(fleet.ask(read_of("1", "a1")) == "VA 5 Oa1\r\n" && fresh.connections == before + 1);
+    std::string last = "after";
+    for (const char* name : {"g1", "g2", "g3", "g4"}) {
+        told.tell(deleted(last) + "," + Fleet::entry(name, fresh, "SERVING"));
+        last = name;
+    }
+    told.tell(deleted(last) + "," + deleted("never-known"));
+    wait_for([&] {
+        told.tell(Fleet::entry("origin", fleet.origin, "SERVING"));
+        return fleet.logged(" 1 known");
+    });
+}
+
 // SIGHUP used to end the node. A new discovery is asked at once, though the old one holds a watch open, and
 // for everything, since its versions are its own.
 void a_new_configuration_is_taken_while_it_serves() {
@@ -650,6 +727,32 @@
     assert(fleet.ask(read_of("2", "same")) == "VA 5 Osame\r\n");  // not open any more
 }
 
+// Half a command, or nothing at all, keeps a descriptor for nothing; slow but going on is honest.
+void who_stops_is_let_go_and_who_is_slow_is_served() {
+    Fleet fleet(1);
+    Line half(loopback(), fleet.port());
+    half.send("ms 7f3a 5 Oh1 Pc=put,d=5000\r\nv");
+    Line mute(loopback(), fleet.port());
+    Line kept(loopback(), fleet.port());
+    kept.send("mn\r\n");
+    assert(kept.until("\r\n") == "MN\r\n");
+    Line slow(loopback(), fleet.port());
+    std::atomic<bool> done{false};
+    std::thread writer([&] {
+        for (const char* part : {"mg 7f3a ", "v Os1", " Pc=rea", "d,d=5000\r\n"}) {
+            slow.send(part);
+            std::this_thread::sleep_for(std::chrono::milliseconds(800));
+        }
+        done = true;
+    });
+    assert(half.until("\r\n") == "CLIENT_ERROR incomplete command\r\n" && half.closed_by_peer());
+    assert(mute.closed_by_peer());
+    assert(slow.until("hello\r\n") == "VA 5 Os1\r\nhello\r\n");
+    writer.join();
+    kept.send(read_of("7f3a", "k1"));
+    assert(kept.until("\r\n") == "VA 5 Ok1\r\n");
+}
+
 // Seen on the bench with 80 descriptors: a client that had just connected was taken for an idle one and
 // closed with its command unread.
 void with_all_client_connections_in_use_answered_ones_go() {
@@ -707,11 +810,13 @@
     who_leaves_is_not_worked_for();
     a_drain_is_kept_from_when_it_is_told();
     a_discovery_that_lost_its_versions_is_asked_for_everything();
+    gone_servers_are_forgotten();
     a_new_configuration_is_taken_while_it_serves();
     a_drain_takes_back_what_is_not_connected();
     split_and_pipelined_commands();
     malformed_commands();
     an_id_still_open_is_refused();
+    who_stops_is_let_go_and_who_is_slow_is_served();
     with_all_client_connections_in_use_answered_ones_go();
     told_to_end_it_serves_on_and_then_ends();
 }
