--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -229,9 +229,18 @@
     if (!done || c.finishing) return;
     c.last = c.finishing = true;
     c.stream->finish();
+    linger(id, c);
+}
+
+// Time runs from when all is written: a slow client still takes the whole of its last answer.
+void Clients::linger(std::uint64_t id, Client& c) {
     c.linger = timers_.at(monotonic() + kLinger, [this, id, &c] {
         c.linger = {};
-        drop(id, c);
+        if (c.stream->unwritten() > 0) {
+            linger(id, c);
+        } else {
+            drop(id, c);
+        }
     });
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -70,6 +70,7 @@
     void age();
     void age(std::uint64_t id, Client& c, double now);
     void close_if_done(std::uint64_t id, Client& c);
+    void linger(std::uint64_t id, Client& c);
     void drop(std::uint64_t id, Client& c);
 
     Timers& timers_;
--- a/src/net/http1.cpp
+++ b/src/net/http1.cpp
@@ -136,8 +136,10 @@
         }
         if (!read_head(in.substr(start, end - start), r)) return in.size();
         start = end + 4;
-        if (r.status == 101) return in.size();  // nobody asked for another protocol
-        if (r.status >= 200) break;             // before it may come any number of interim ones
+        if (r.status >= 200) break;
+        // Some interim ones may come before it, but not without end, nor another protocol that nobody asked
+        // for.
+        if (r.status == 101 || start > kHeadMost) return in.size();
     }
     if (r.status == 204 || r.status == 304) {
         r.sound = true;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -667,6 +667,17 @@
     Line line(loopback(), fleet.port());
     line.send(read_of("1", "l1"));
     assert(line.until("\r\n") == "VA 1000000 Ol1\r\n" && line.bytes(large.size() + 2) == large + "\r\n");
+    // Also to a client that takes them late, when the last of its commands has already lost it the
+    // connection.
+    std::string many;
+    for (int n = 0; n < 12; ++n) many += read_of("1", "m" + std::to_string(n));
+    line.send(many + "ms k x O1 Pc=put,d=9\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    for (int n = 0; n < 12; ++n) {
+        assert(line.until("\r\n") == "VA 1000000 Om" + std::to_string(n) + "\r\n");
+        assert(line.bytes(large.size() + 2) == large + "\r\n");
+    }
+    assert(line.until("\r\n") == "CLIENT_ERROR bad length\r\n" && line.closed_by_peer());
 }
 
 void split_and_pipelined_commands() {
--- a/tests/text_test.cpp
+++ b/tests/text_test.cpp
@@ -146,6 +146,9 @@
     }
     HttpResponse r;
     assert(read_response("SSH-2.0", kValueMost, r) > 0 && !r.sound);
+    std::string endless;
+    for (int n = 0; n < 400; ++n) endless += "HTTP/1.1 102 Processing\r\n\r\n";
+    assert(read_response(endless, kValueMost, r) > 0 && !r.sound);
 }
 
 void what_the_origin_answers() {
