--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -14,9 +14,12 @@
 constexpr double kFirstBytes = 0.5;  // s in which a new client has not yet had the time to write
 // Descriptors are few, and a client that says nothing or stops halfway keeps one for nothing. Time runs from
 // the last byte: whoever is slow but goes on is served.
-constexpr double kSilent = 2.0;    // s that a new client may say nothing, and any may stop within a command
-constexpr double kIdle = 30.0;     // s between two commands; at the budget the longest idle goes sooner
-constexpr double kUntaken = 10.0;  // s in which a client takes no byte of its answers
+constexpr double kSilent = 2.0;  // s that a new client may say nothing, and any may stop within a command
+constexpr double kIdle = 30.0;   // s between two commands,
+constexpr double kIdleCrowded =
+    2.0;  // and where more than a part of the places is taken: what asked once and
+constexpr double kCrowdedPart = 0.25;  // stays keeps its client, too, from opening another
+constexpr double kUntaken = 10.0;      // s in which a client takes no byte of its answers
 constexpr double kAgeEvery = 0.25;
 constexpr const char* kNoMemory = "SERVER_ERROR out of memory";
 constexpr double kLinger = 1.0;  // s; closing with bytes unread would reset what is still on its way out
@@ -175,6 +178,8 @@
 }
 
 void Clients::age(std::uint64_t id, Client& c, double now) {
+    const bool crowded = static_cast<double>(live_) > kCrowdedPart * static_cast<double>(most_);
+    const double idle = crowded ? kIdleCrowded : kIdle;
     if (c.stream->unwritten() != c.untaken) {
         c.untaken = c.stream->unwritten();
         c.untaken_since = now;
@@ -185,7 +190,7 @@
         return;  // it is being closed, has just been heard, or is not read from
     } else if (!c.stream->input().empty()) {
         turn_away(id, c, "CLIENT_ERROR incomplete command");
-    } else if (c.pending.empty() && !c.stream->has_unread() && (c.first == 0 || now - c.used >= kIdle)) {
+    } else if (c.pending.empty() && !c.stream->has_unread() && (c.first == 0 || now - c.used >= idle)) {
         drop(id, c);
     }
 }
