Told to end, the node waits for commands to cease, not for connections

Seen: in the incident a node told to end stayed until the kill 3 s later with nothing open, since connections that say nothing went on coming (Clients::quiet_since looked at the last accept).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -85,7 +85,7 @@
         const std::uint64_t id = ++last_id_;
         Client& c = clients_[id];
         ++live_;
-        last_accept_ = c.used = monotonic();
+        c.used = monotonic();
         c.stream = std::make_unique<Stream>(std::move(socket), kInMost, budget_,
                                             [this, id, &c](Stream::News what) { news(id, c, what); });
     }
@@ -130,6 +130,7 @@
         const std::size_t taken = read_command(c.stream->input(), command);
         if (taken == 0) break;
         c.stream->take(taken);
+        last_command_ = monotonic();
         Pending& p = c.pending.emplace_back();
         ++held_;
         if (command.kind == Command::Kind::hello) {
@@ -269,10 +270,12 @@
     }
 }
 
+// Commands count, not connections: some come and say nothing for as long as there is a node.
 bool Clients::quiet_since(double time) const {
-    return last_accept_ < time && std::all_of(clients_.begin(), clients_.end(), [](const auto& entry) {
+    return last_command_ < time && std::all_of(clients_.begin(), clients_.end(), [](const auto& entry) {
                const Client& c = entry.second;
-               return c.stream->closed() || (c.pending.empty() && !c.finishing && !c.stream->has_unread());
+               return c.stream->closed() ||
+                      (c.pending.empty() && c.stream->unwritten() == 0 && !c.stream->has_unread());
            });
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -37,7 +37,7 @@
     void answer(const Asker& asker, std::string text);
     // From now on each connection is closed once it has nothing to be answered.
     void wind_down();
-    bool quiet_since(double time) const;  // nothing is owed to anyone, and nobody new has come
+    bool quiet_since(double time) const;  // nothing is owed to anyone, and nobody has asked
     void sweep();
 
   private:
@@ -88,7 +88,7 @@
     std::size_t live_ = 0;
     std::size_t held_ = 0;  // commands without their answer written
     std::uint64_t last_id_ = 0;
-    double last_accept_ = 0;
+    double last_command_ = 0;
     bool winding_down_ = false;
 };
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -811,6 +811,22 @@
     go = true;
     assert(held.until("hello\r\n") == "VA 5 Oheld\r\nhello\r\n" && held.closed_by_peer());
     assert(fleet.exit_code() == 0);
+    // Connections that say nothing go on coming; they must not keep it until the kill.
+    Fleet pestered(1);
+    std::atomic<bool> ended{false};
+    std::thread pest([&] {
+        std::list<Line> lines;
+        while (!ended) {
+            lines.emplace_back(loopback(), pestered.port());
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        }
+    });
+    const auto told = std::chrono::steady_clock::now();
+    pestered.signal(SIGTERM);
+    assert(pestered.exit_code() == 0);
+    ended = true;
+    pest.join();
+    assert(std::chrono::steady_clock::now() - told < std::chrono::milliseconds(2400));  // else 2.9 s
     Fleet stuck(1);
     stuck.caches.front().plays(silent);
     Line last(loopback(), stuck.port());
