Told to end, the node serves its clients' connections as before for another second

A probe: from 16.0 to 16.9 s half of the usual commands came; one node had closed its idle connections at once (Clients::wind_down on the signal), the other was just starting, and the front did not know it yet. Ruled out: lost answers (none dropped with an answer owed), discarded commands (none).

--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -14,7 +14,9 @@
 
 // After SIGTERM. The front goes on sending here for a while; whoever is still unanswered near the kill (which
 // comes no sooner than the longest client timeout, kKillMost at the most, and 0.7 s more) is told so.
-constexpr double kFrontMovesAway = 1.0;
+constexpr double kServeOn =
+    1.0;  // as before: the clients' connections may be the only way in while another starts
+constexpr double kFrontMovesAway = 1.5;
 constexpr double kQuiet = 0.5;
 constexpr double kKillMost = 3.0;
 constexpr double kBeforeKill = 0.4;
@@ -356,7 +358,7 @@
     if (winding_down_since_ > 0) return;
     log_.line(Topic::node, "told to end: serves on until the front has moved away");
     winding_down_since_ = monotonic();
-    clients_.wind_down();
+    timers_.at(winding_down_since_ + kServeOn, [this] { clients_.wind_down(); });
     look_whether_done();
 }
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -815,10 +815,17 @@
     Line idle(loopback(), fleet.port());
     idle.send("mn\r\n");
     assert(idle.until("\r\n") == "MN\r\n");
+    Line used(loopback(), fleet.port());
+    used.send("mn\r\n");
+    assert(used.until("\r\n") == "MN\r\n");
     Line held(loopback(), fleet.port());
     held.send(read_of("7f3a", "held"));
     wait_for([&] { return fleet.caches.front().heard().size() == 1; });
     fleet.signal(SIGTERM);
+    wait_for([&] { return fleet.logged("told to end"); });
+    used.send(read_of("7f3a", "used"));
+    assert(used.until("hello\r\n") ==
+           "VA 5 Oused\r\nhello\r\n");  // a connection that is there goes on serving
     assert(idle.closed_by_peer());
     Line late(loopback(), fleet.port());
     late.send(read_of("7f3a", "late"));
