--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -47,7 +47,7 @@
 
 void a_good_one() {
     const Station s = read(kGood);
-    assert(s.name == "n1" && s.seed == 0x8c1f30d27a5be964ULL && s.descriptors == 1024);
+    assert(s.name == "n1" && s.seed == 0x8c1f30d27a5be964ULL && s.descriptors == 1024 && s.memory_mb == 192);
     assert(s.deployment.zone == 1 && s.deployment.zones == 2 && s.deployment.origin_kind == 2);
     assert(s.deployment.ask_for_list && s.deployment.connection_idle == 60 && s.most_open == 20000);
     assert(s.deployment.operations[0].latency_objective == 1.2);  // none is told: the client timeout
@@ -67,6 +67,8 @@
                           Case{"8c1f30d27a5be964", "xyz", "seed"},
                           Case{"1024", "\"many\"", "sockets"},
                           Case{"1024", "10", "limits.sockets"},
+                          Case{"192", "\"much\"", "memory_mb"},
+                          Case{"192", "8", "limits.memory_mb"},
                           Case{"\"seq\":41,", "", "seq"},
                           Case{"\"site\":\"b\"", "\"site\":\"c\"", "site"},
                           Case{"\"class\":\"m2\"", "\"class\":\"m9\"", "class"},
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -226,6 +226,7 @@
     int connect_timeout_ms = 250;
     StandIn::Script watch = silent;
     bool aside = true;  // false: caches fetch for themselves, and no origin is listed
+    int memory_mb = 192;
 };
 
 // One node before `count` caches, an origin and discovery.
@@ -247,8 +248,8 @@
         std::ostringstream told;
         told << R"({"name":"n1","listen":")" << loopback() << ":" << port_ << R"(","discovery":")"
              << discovery.address() << R"(","seed":"1f","limits":{"sockets":)" << around.descriptors
-             << R"(},"known":{"seq":7,"whole":true,"hosts":[)" << hosts
-             << R"(]},"settings":{"az":0,"balancers":2,"localities":["a"],"kinds":["m","origin"],
+             << R"(,"memory_mb":)" << around.memory_mb << R"(},"known":{"seq":7,"whole":true,"hosts":[)"
+             << hosts << R"(]},"settings":{"az":0,"balancers":2,"localities":["a"],"kinds":["m","origin"],
  "discovery":"pushed","granularity_us":5000,"guarantees":{"grace_to_answer_us":20000},
  "permissions":{"cancel":true,"most_forwards":5,"connect_timeout_us":)"
              << around.connect_timeout_ms << R"(000,"conn_idle_us":15000000},
@@ -680,6 +681,21 @@
     assert(line.until("\r\n") == "CLIENT_ERROR bad length\r\n" && line.closed_by_peer());
 }
 
+// Each buffer is bounded by itself; all of them full at once would be more than the node may have.
+void what_clients_hold_together_is_bounded() {
+    Fleet fleet(1, {256, 250, silent, true, 16});  // 4 MB for the clients' buffers
+    std::list<Line> lines;
+    for (int n = 0; n < 100; ++n) {
+        lines.emplace_back(loopback(), fleet.port());
+        lines.back().send("ms 7f3a 65000 Oh" + std::to_string(n) + " Pc=put,d=5000\r\n" +
+                          std::string(60000, 'v'));
+    }
+    assert(fleet.ask(read_of("7f3a", "b1")) == "VA 5 Ob1\r\n");
+    int turned_away = 0;
+    for (Line& line : lines) turned_away += line.until("\r\n") == "SERVER_ERROR out of memory\r\n";
+    assert(turned_away > 0 && turned_away < 100);
+}
+
 void split_and_pipelined_commands() {
     Fleet fleet(2);
     std::atomic<bool> go{false};
@@ -876,6 +892,7 @@
     a_new_configuration_is_taken_while_it_serves();
     a_drain_takes_back_what_is_not_connected();
     large_values_are_passed_on_whole();
+    what_clients_hold_together_is_bounded();
     split_and_pipelined_commands();
     malformed_commands();
     an_id_still_open_is_refused();
