--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -14,9 +14,9 @@
 
 // After SIGTERM. The front goes on sending here for a while; whoever is still unanswered near the kill (which
 // comes no sooner than the longest client timeout, kKillMost at the most, and 0.7 s more) is told so.
-constexpr double kServeOn =
-    1.0;  // as before: the clients' connections may be the only way in while another starts
-constexpr double kFrontMovesAway = 1.5;
+// At first as before: the connections that clients have may be the only way in while another node starts.
+constexpr double kServeOn = 1.0;
+constexpr double kFrontMovesAway = 0.5;  // after that; the front has sent nothing new for some time by then
 constexpr double kQuiet = 0.5;
 constexpr double kKillMost = 3.0;
 constexpr double kBeforeKill = 0.4;
@@ -357,19 +357,22 @@
 void Node::wind_down() {
     if (winding_down_since_ > 0) return;
     log_.line(Topic::node, "told to end: serves on until the front has moved away");
+    double longest = 0;
+    for (const Operation& op : station_.deployment.operations) longest = std::max(longest, op.client_timeout);
+    const double left = std::min(longest, kKillMost) + kBeforeKill;
     winding_down_since_ = monotonic();
-    timers_.at(winding_down_since_ + kServeOn, [this] { clients_.wind_down(); });
+    last_answers_at_ = winding_down_since_ + left;
+    // Where client timeouts are short the kill comes early, and what was taken must be answered before it.
+    closes_at_ = winding_down_since_ + std::min(kServeOn, left / 2);
+    timers_.at(closes_at_, [this] { clients_.wind_down(); });
     look_whether_done();
 }
 
 void Node::look_whether_done() {
     const double now = monotonic();
-    double longest = 0;
-    for (const Operation& op : station_.deployment.operations) longest = std::max(longest, op.client_timeout);
-    const double last = winding_down_since_ + std::min(longest, kKillMost) + kBeforeKill;
-    if (now - winding_down_since_ >= kFrontMovesAway && clients_.quiet_since(now - kQuiet) && open_ == 0) {
+    if (now - closes_at_ >= kFrontMovesAway && clients_.quiet_since(now - kQuiet) && open_ == 0) {
         done_ = true;
-    } else if (now >= last && open_ > 0) {
+    } else if (now >= last_answers_at_ && open_ > 0) {
         log_.line(Topic::node, std::to_string(open_) + " invocations errored before the kill");
         for (std::size_t i = 0; i < invocations_.size(); ++i) {
             if (invocations_[i].over) continue;
@@ -378,7 +381,7 @@
                 client_left(then, inv);
             });
         }
-    } else if (now >= last + kQuiet) {
+    } else if (now >= last_answers_at_ + kQuiet) {
         done_ = true;
     }
     if (!done_) timers_.at(now + kLook, [this] { look_whether_done(); });
