--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -1,7 +1,7 @@
 // The clients' side: the listener, each client's connection, and its answers in the order of its commands. It
-// owns the connections and gives them back in drop(), also those of clients that keep one for nothing. It never
-// decides an answer: each command that the node is asked is answered by the node, once; only what is no command
-// at all, or no whole one in time, gets its error line here.
+// owns the connections and gives them back in drop(), also those of clients that keep one for nothing. It
+// never decides an answer: each command that the node is asked is answered by the node, once; only what is no
+// command at all, or no whole one in time, gets its error line here.
 #pragma once
 
 #include <cstddef>
