Review: one time for the end, each byte counted once, each ending named again in judge()

Read once more. winding_down_since_ followed from closes_at_; Stream::write counted its buffers twice; the look for idle clients asked the kernel about each client even where none could go; a default case in judge() had taken the compiler's check of new endings away to save a line; a test kept a flag that nobody read. One edge mended on the way: a server told gone and then draining was forgotten as if gone, since gone_since was cleared only by being ready. No bound or assertion changed.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -764,7 +764,8 @@
                 ease_off(c, kHardCut, kPause, 0, now);
                 if (++c.failures >= kSilentRun) suspect(c, true, now);
                 break;
-            default:  // called back, or never sent: it tells nothing
+            case Ending::cancelled:
+            case Ending::not_sent:
                 break;
         }
         if (c.out == 0) c.unanswered = 0;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -182,13 +182,14 @@
 }
 
 void Clients::part_with_idle(double now) {
+    const auto kept = static_cast<std::size_t>(kIdlePart * static_cast<double>(most_));
+    if (live_ <= kept) return;  // each look below asks the kernel once a client
     std::vector<std::pair<double, std::uint64_t>> idle;
     for (const auto& [id, c] : clients_) {
         const bool answered = c.first > 0 && c.stream->unwritten() == 0 && !c.last;
         if (answered && between_commands(c)) idle.emplace_back(c.used, id);
     }
     std::sort(idle.begin(), idle.end());
-    const auto kept = static_cast<std::size_t>(kIdlePart * static_cast<double>(most_));
     for (std::size_t i = 0; i + kept < idle.size() && now - idle[i].first >= kIdleLeast; ++i)
         drop(idle[i].second, clients_.at(idle[i].second));
 }
--- a/src/net/http1.cpp
+++ b/src/net/http1.cpp
@@ -137,8 +137,7 @@
         if (!read_head(in.substr(start, end - start), r)) return in.size();
         start = end + 4;
         if (r.status >= 200) break;
-        // Some interim ones may come before it, but not without end, nor another protocol that nobody asked
-        // for.
+        // Interim ones may come before it, but not without end, nor a protocol that nobody asked for.
         if (r.status == 101 || start > kHeadMost) return in.size();
     }
     if (r.status == 204 || r.status == 304) {
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -211,12 +211,12 @@
             s.standing = Standing::gone;
             entries.push_back(listing(cache));
         }
-        if (s.standing == Standing::ready) {
+        if (s.standing != Standing::ready) pool_.withdraw(cache);
+        if (s.standing != Standing::gone) {
             s.gone_since = 0;
-            continue;
+        } else if (s.gone_since == 0) {
+            s.gone_since = now;
         }
-        pool_.withdraw(cache);
-        if (s.standing == Standing::gone && s.gone_since == 0) s.gone_since = now;
     }
     if (!entries.empty() || list.whole) {
         log_.line(Topic::discovery, "version " + std::to_string(list.version) + ": " +
@@ -355,15 +355,15 @@
 // ---- winding down ------------------------------------------------------------------------------------
 
 void Node::wind_down() {
-    if (winding_down_since_ > 0) return;
+    if (closes_at_ > 0) return;
     log_.line(Topic::node, "told to end: serves on until the front has moved away");
     double longest = 0;
     for (const Operation& op : station_.deployment.operations) longest = std::max(longest, op.client_timeout);
     const double left = std::min(longest, kKillMost) + kBeforeKill;
-    winding_down_since_ = monotonic();
-    last_answers_at_ = winding_down_since_ + left;
+    const double now = monotonic();
+    last_answers_at_ = now + left;
     // Where client timeouts are short the kill comes early, and what was taken must be answered before it.
-    closes_at_ = winding_down_since_ + std::min(kServeOn, left / 2);
+    closes_at_ = now + std::min(kServeOn, left / 2);
     timers_.at(closes_at_, [this] { clients_.wind_down(); });
     look_whether_done();
 }
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -97,8 +97,7 @@
     std::deque<Known> servers_;  // names in it are lent to the module while more are added
     std::vector<int> free_numbers_;
     Timers::Handle forgetting_;
-    double winding_down_since_ = 0;
-    double closes_at_ = 0;        // the clients' connections, when told to end
+    double closes_at_ = 0;        // the clients' connections; 0: not told to end
     double last_answers_at_ = 0;  // some time before the kill
     bool done_ = false;
 };
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -130,7 +130,7 @@
     // Mostly the kernel takes it all, and a large value is not copied once more.
     if (state_ == State::up && out_.empty()) bytes.remove_prefix(send_some(bytes));
     out_.append(bytes);
-    if (state_ == State::up) flush();
+    if (state_ == State::up) return flush();
     count();
 }
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -777,13 +777,11 @@
     kept.send("mn\r\n");
     assert(kept.until("\r\n") == "MN\r\n");
     Line slow(loopback(), fleet.port());
-    std::atomic<bool> done{false};
     std::thread writer([&] {
         for (const char* part : {"mg 7f3a ", "v Os1", " Pc=rea", "d,d=5000\r\n"}) {
             slow.send(part);
             std::this_thread::sleep_for(std::chrono::milliseconds(800));
         }
-        done = true;
     });
     assert(half.until("\r\n") == "CLIENT_ERROR incomplete command\r\n" && half.closed_by_peer());
     assert(mute.closed_by_peer());
