--- /dev/null
+++ b/src/cli/check.cpp
@@ -0,0 +1,41 @@
+#include "check.h"
+
+#include <cstdio>
+
+#include "exit_codes.h"
+#include "json.h"
+#include "operator.h"
+#include "station.h"
+
+namespace brookrelay {
+namespace {
+
+bool ends_with(const std::string& text, const char* end) { return std::string_view(text).ends_with(end); }
+
+int check_station(const std::string& path) {
+    try {
+        const Station s = read_station(path);
+        std::printf("%s: a station's file: node %s, %zu operations, %zu servers known; sound\n", path.c_str(),
+                    s.name.c_str(), s.deployment.operations.size(), s.known.servers.size());
+        return kDone;
+    } catch (const BadInput& bad) {
+        std::fprintf(stderr, "%s: %s\n", path.c_str(), bad.what());
+        return kWrongUse;
+    }
+}
+
+}  // namespace
+
+int check_file(const std::string& path) {
+    if (ends_with(path, ".json")) return check_station(path);
+    if (!ends_with(path, ".toml")) {
+        std::fprintf(stderr, "%s: expected a .json file (a station's) or a .toml file (operators' or a scenario)\n",
+                     path.c_str());
+        return kWrongUse;
+    }
+    (void)read_operator_file(path);
+    std::printf("%s: the operators' own file; sound\n", path.c_str());
+    return kDone;
+}
+
+}  // namespace brookrelay
--- /dev/null
+++ b/src/config/operator.h
@@ -0,0 +1,17 @@
+// The operators' own file (TOML): what a deployment of ours turns on beside what the platform tells a node.
+// Read and checked here alone; an empty file is a good one. It never repeats a key of the station's file.
+#pragma once
+
+#include <string>
+
+namespace brookrelay {
+
+struct OperatorFile {
+    bool json_log = false;
+    int log_lines_a_second = 10;  // for each topic
+};
+
+// Throws BadFile with every complaint, a line each.
+OperatorFile read_operator_file(const std::string& path);
+
+}  // namespace brookrelay
--- /dev/null
+++ b/src/config/toml.h
@@ -0,0 +1,89 @@
+// Checked reading of the operators' TOML files. It owns the parsed document and the list of what is wrong with
+// it: each complaint has the file, the line, the key's path, and what was expected there, and a key that
+// nobody asked for is one too. It never stops at the first and never fills in a default for what was given but
+// is wrong: whoever reads must look at complaints() before using anything.
+#pragma once
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace brookrelay {
+
+// Every complaint about one file, a line each.
+struct BadFile : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// One complaint's form, shared by every reader: FILE:LINE: PATH: WHAT
+std::string complaint_text(const std::string& file, std::size_t line, const std::string& path,
+                           const std::string& what);
+
+// The known word nearest to `word`, or empty if none is near enough to be meant.
+std::string nearest(std::string_view word, const std::vector<std::string>& known);
+
+// "250ms", "3s", "1.5m", "2h", "40us" as seconds; false: it is no duration with its unit.
+bool parse_duration(std::string_view text, double& seconds);
+std::string duration_text(double seconds);
+
+class TomlFile {
+  public:
+    // One table of the file; asking for a key makes it known.
+    class Table {
+      public:
+        double number(const std::string& key, double otherwise, double least, double most);
+        std::int64_t whole(const std::string& key, std::int64_t otherwise, std::int64_t least,
+                           std::int64_t most);
+        double duration(const std::string& key, double otherwise, double least, double most);
+        bool flag(const std::string& key, bool otherwise);
+        std::string text(const std::string& key, const std::string& otherwise);
+        std::string needed_text(const std::string& key);
+        // One of `words`; its index.
+        std::size_t word(const std::string& key, std::size_t otherwise, const std::vector<std::string>& words);
+        std::vector<std::string> texts(const std::string& key);
+        std::vector<std::pair<double, double>> curve(const std::string& key);  // [["0s", 1.0], ["30s", 2.0]]
+        void table(const std::string& key, const std::function<void(Table&)>& read);
+        void each(const std::string& key, const std::function<void(Table&)>& read);  // [[key]]
+        bool has(const std::string& key) const { return table_ != nullptr && table_->contains(key); }
+        void complain(const std::string& key, const std::string& what);
+        std::size_t line_of(const std::string& key) const;
+        const std::string& path() const { return path_; }
+
+      private:
+        friend class TomlFile;
+        Table(TomlFile& file, const toml::table* table, std::string path)
+            : file_(file), table_(table), path_(std::move(path)) {}
+        const toml::node* find(const std::string& key);
+        std::string at(const std::string& key) const { return path_.empty() ? key : path_ + "." + key; }
+        void look_for_unknown();
+        bool check_range(const std::string& key, double value, double least, double most,
+                         const std::function<std::string(double)>& say);
+
+        TomlFile& file_;
+        const toml::table* table_;
+        std::string path_;
+        std::set<std::string> asked_;
+    };
+
+    // Reads the file; a syntax error is thrown as BadFile at once. `overrides` are "path.to.key=value" in
+    // TOML's own spelling, put over what the file says; `a.2.b` names the third of [[a]].
+    explicit TomlFile(const std::string& path, const std::vector<std::string>& overrides = {});
+    void read(const std::function<void(Table&)>& read_root);
+    const std::vector<std::string>& complaints() const { return complaints_; }
+    void throw_if_wrong() const;
+
+  private:
+    void put_over(const std::string& assignment);
+    std::string path_;
+    toml::table root_;
+    std::vector<std::string> complaints_;
+};
+
+}  // namespace brookrelay
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,77 +1,66 @@
-// The program: reads what the node is told at its start, runs the loop, and hears the signals. It owns the
-// node and the log, and never touches a socket.
-#include <glib-unix.h>
-
+// The command line: reads what was asked, and hands it to the part that does it. Without arguments it serves,
+// as the platform starts it. It owns the exit codes (0 done; 1 a rule broken or a check failed; 2 wrong usage
+// or a wrong file) and does nothing itself.
+#include <CLI/CLI.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <string>
 
-#include "json.h"
-#include "net/node.h"
-#include "station.h"
+#include "cli/check.h"
+#include "cli/exit_codes.h"
+#include "net/serve.h"
+#include "toml.h"
 
 namespace {
 
-// What a signal's handler needs.
-struct Running {
-    const std::string& path;
-    brookrelay::Log& log;
-    brookrelay::Node& node;
-};
-
-// A file that is wrong must not cost the service that an older one keeps up.
-void read_again(const Running& running) {
-    try {
-        running.node.reload(brookrelay::read_station(running.path));
-    } catch (const brookrelay::BadInput& bad) {
-        running.log.line(brookrelay::Topic::node,
-                         "new configuration not taken, the old one stays: " + std::string(bad.what()));
+int serve_with(const std::string& given, const std::string& operator_path, const std::string& log_format) {
+    std::string path = given;
+    if (path.empty()) {
+        const char* told = std::getenv("GW_CONFIG");
+        if (told == nullptr) {
+            std::fprintf(stderr, "brookrelay: GW_CONFIG is not set: it names the configuration file "
+                                 "(or give --config FILE; --help says more)\n");
+            return brookrelay::kWrongUse;
+        }
+        path = told;
     }
-}
-
-int run(const std::string& path) {
-    brookrelay::Station station;
-    try {
-        station = brookrelay::read_station(path);
-    } catch (const brookrelay::BadInput& bad) {
-        std::fprintf(stderr, "brookrelay: %s: %s\n", path.c_str(), bad.what());
-        return 1;
-    }
-    brookrelay::Log log(station.name);
-    brookrelay::Node node(station, log);
-    Running running{path, log, node};
-    const auto told_to_end = [](gpointer self) -> gboolean {
-        static_cast<Running*>(self)->node.wind_down();
-        return G_SOURCE_CONTINUE;
-    };
-    const auto told_to_read = [](gpointer self) -> gboolean {
-        read_again(*static_cast<Running*>(self));
-        return G_SOURCE_CONTINUE;
-    };
-    g_unix_signal_add(SIGTERM, told_to_end, &running);
-    g_unix_signal_add(SIGINT, told_to_end, &running);
-    g_unix_signal_add(SIGHUP, told_to_read, &running);
-    std::string complaint;
-    if (!node.start(complaint)) {
-        std::fprintf(stderr, "brookrelay: field 'listen': %s\n", complaint.c_str());
-        return 1;
-    }
-    log.line(brookrelay::Topic::node, "serves on " + station.listen);
-    while (!node.done()) {
-        g_main_context_iteration(nullptr, node.has_work() ? FALSE : TRUE);
-        node.turn();
-    }
-    log.line(brookrelay::Topic::node, "ends");
-    return 0;
+    brookrelay::OperatorFile operator_file;
+    if (!operator_path.empty()) operator_file = brookrelay::read_operator_file(operator_path);
+    if (!log_format.empty()) operator_file.json_log = log_format == "json";
+    return brookrelay::serve(path, operator_file);
 }
 
 }  // namespace
 
-int main() {
-    const char* path = std::getenv("GW_CONFIG");
-    if (path == nullptr) {
-        std::fprintf(stderr, "brookrelay: GW_CONFIG is not set: it names the configuration file\n");
-        return 1;
+int main(int argc, char** argv) {
+    CLI::App app{"brookrelay: a proxy that spreads keys over cache servers before a slow origin.\n"
+                 "Without a command it serves, by the file that GW_CONFIG names."};
+    app.set_version_flag("--version", std::string("brookrelay ") + BROOKRELAY_VERSION);
+    app.footer("Exit codes: 0 done, 1 a rule was broken or a check failed, 2 wrong usage or a wrong file.");
+    app.require_subcommand(0, 1);
+
+    std::string config, operator_path, log_format;
+    CLI::App* serve = app.add_subcommand("serve", "serve until SIGTERM");
+    serve->add_option("--config", config, "the station's file (JSON); without it, the one GW_CONFIG names");
+    serve->add_option("--operator", operator_path, "the operators' own file (TOML)");
+    serve->add_option("--log-format", log_format, "human or json; goes before the operators' file")
+        ->check(CLI::IsMember({"human", "json"}));
+
+    std::string to_check;
+    CLI::App* check = app.add_subcommand("check", "say what a file is, and all that is wrong with it");
+    check->add_option("FILE", to_check, "a station's, operators' or scenario file")->required();
+
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& said) {
+        // Help and version come this way too, with 0.
+        return app.exit(said) == 0 ? brookrelay::kDone : brookrelay::kWrongUse;
+    }
+    try {
+        if (check->parsed()) return brookrelay::check_file(to_check);
+        return serve_with(config, operator_path, log_format);
+    } catch (const brookrelay::BadFile& bad) {
+        std::fprintf(stderr, "%s\n", bad.what());
+        return brookrelay::kWrongUse;
     }
-    return run(path);
 }
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -72,7 +72,7 @@
         const ErrorRef why(error);
         if (socket == nullptr) {
             if (room && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) return;
-            log_.line(Topic::client, std::string("accepting waits: ") +
+            log_.line(Topic::client, "accepting_waits", std::string("accepting waits: ") +
                                          (room ? why->message : "all client connections are in use"));
             watch_listener(false);
             timers_.call_off(accept_again_);
@@ -137,7 +137,8 @@
             say(p, "MN\r\n");
         } else if (command.kind == Command::Kind::malformed) {
             const std::string complaint = command.complaint;
-            log_.line(Topic::client, complaint.empty() ? "unknown command" : "malformed: " + complaint);
+            log_.line(Topic::client, complaint.empty() ? "unknown_command" : "malformed",
+                      complaint.empty() ? "unknown command" : "malformed: " + complaint);
             say(p, complaint.empty() ? "ERROR\r\n" : "CLIENT_ERROR " + complaint + "\r\n");
             c.last = command.framing_lost;
         } else {
@@ -163,7 +164,7 @@
 
 // One error line behind what is still owed, and no more is read.
 void Clients::turn_away(std::uint64_t id, Client& c, const char* line) {
-    log_.line(Topic::client, std::string("turned away: ") + line);
+    log_.line(Topic::client, "turned_away", std::string("turned away: ") + line);
     say(c.pending.emplace_back(), std::string(line) + "\r\n");
     ++held_;
     c.last = true;
@@ -218,7 +219,7 @@
     if (place >= c.pending.size() || c.pending[place].ready) return;
     // Clients that take their answers slowly may not hold more of them than there is memory.
     const bool too_much = budget_.over() && text.size() > kLineMost;
-    if (too_much) log_.line(Topic::client, "an answer is not passed on: no memory");
+    if (too_much) log_.line(Topic::client, "answer_dropped", "an answer is not passed on: no memory");
     say(c.pending[place], too_much ? std::string(kNoMemory) + "\r\n" : std::move(text));
     write_answers(c);
     read_commands(asker.connection, c);  // there may be commands that waited for room
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -97,7 +97,7 @@
         return failed(bad.what());
     }
     for (const std::string& complaint : list.complaints) {
-        log_.line(Topic::discovery, "an entry was left out: " + complaint);
+        log_.line(Topic::discovery, "entry_left_out", "an entry was left out: " + complaint);
     }
     calling_ = false;
     timers_.call_off(limit_);
@@ -119,7 +119,7 @@
 }
 
 void Discovery::failed(const std::string& why) {
-    log_.line(Topic::discovery, "call failed: " + why);
+    log_.line(Topic::discovery, "call_failed", "call failed: " + why);
     hang_up();
     watching_ = false;
     if (asks_) return tell_failed_();
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,37 +1,78 @@
 #include "log.h"
 
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <spdlog/logger.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
 #include <chrono>
-#include <cstdio>
 
 namespace brookrelay {
 namespace {
-constexpr int kLinesASecond = 10;
+
+constexpr std::size_t kTextMost = 300;
 constexpr std::array<const char*, static_cast<std::size_t>(Topic::count)> kTopics{
     "node", "client", "cache", "origin", "discovery", "policy"};
+
+// A client's or a server's bytes may stand in the text; none of them may forge a line or spoil an object.
+std::string clean(std::string_view text, bool ascii) {
+    std::string out(text.substr(0, kTextMost));
+    for (char& c : out) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (byte < 0x20 || (ascii && byte > 0x7e)) c = '?';
+    }
+    return out;
+}
+
 }  // namespace
 
-void Log::line(Topic topic, std::string_view text) {
+Log::Log(std::string name, bool json, int lines_a_second)
+    : name_(std::move(name)),
+      json_(json),
+      lines_a_second_(lines_a_second),
+      out_(std::make_shared<spdlog::logger>("log", std::make_shared<spdlog::sinks::stderr_sink_st>())) {
+    out_->set_pattern("%v");
+    out_->flush_on(spdlog::level::trace);
+}
+
+void Log::line(Topic topic, std::string_view event, std::string_view text) {
     const auto since = std::chrono::steady_clock::now().time_since_epoch();
     const auto second = std::chrono::duration_cast<std::chrono::seconds>(since).count();
     Rate& rate = rates_[static_cast<std::size_t>(topic)];
-    const char* word = kTopics[static_cast<std::size_t>(topic)];
     if (second != rate.second) {
-        if (rate.held_back > 0) {
-            std::fprintf(stderr, "%s %s: %llu more lines held back\n", name_.c_str(), word,
-                         static_cast<unsigned long long>(rate.held_back));
-        }
+        const std::uint64_t held_back = rate.held_back;
         rate = {second, 0, 0};
+        if (held_back > 0) write(topic, "held_back", std::to_string(held_back) + " more lines held back");
     }
-    if (++rate.written > kLinesASecond) {
+    if (++rate.written > lines_a_second_) {
         ++rate.held_back;
         return;
     }
-    // A client's or a server's bytes may stand in the text; none of them may forge a line.
-    std::string clean(text.substr(0, 300));
-    for (char& c : clean) {
-        if (static_cast<unsigned char>(c) < 0x20) c = '?';
+    write(topic, event, text);
+}
+
+void Log::write(Topic topic, std::string_view event, std::string_view text) {
+    const char* word = kTopics[static_cast<std::size_t>(topic)];
+    if (!json_) {
+        out_->info("{} {}: {}", name_, word, clean(text, false));
+        return;
     }
-    std::fprintf(stderr, "%s %s: %s\n", name_.c_str(), word, clean.c_str());
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    rapidjson::StringBuffer buffer;
+    rapidjson::Writer<rapidjson::StringBuffer> json(buffer);
+    const auto put = [&](const char* key, std::string_view value) {
+        json.Key(key);
+        json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+    };
+    json.StartObject();
+    json.Key("time_ms");
+    json.Int64(std::chrono::duration_cast<std::chrono::milliseconds>(wall).count());
+    put("node", name_);
+    put("topic", word);
+    put("event", event);
+    put("text", clean(text, true));
+    json.EndObject();
+    out_->info("{}", std::string_view(buffer.GetString(), buffer.GetSize()));
 }
 
 }  // namespace brookrelay
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -87,7 +87,7 @@
 }
 
 void Node::reload(const Station& station) {
-    log_.line(Topic::node, "configuration read again: discovery at " + station.discovery);
+    log_.line(Topic::node, "configuration_read", "configuration read again: discovery at " + station.discovery);
     discovery_.move_to(station.discovery);
 }
 
@@ -128,7 +128,7 @@
         invocation(inv).overdue = {};
         inbox_.emplace_back([this, inv](double then) {
             if (invocation(inv).over) return;
-            log_.line(Topic::node, "an invocation outlived its client timeout");
+            log_.line(Topic::node, "outlived", "an invocation outlived its client timeout");
             answer(inv, "SERVER_ERROR timed out\r\n");
             client_left(then, inv);
         });
@@ -219,7 +219,7 @@
         }
     }
     if (!entries.empty() || list.whole) {
-        log_.line(Topic::discovery, "version " + std::to_string(list.version) + ": " +
+        log_.line(Topic::discovery, "list", "version " + std::to_string(list.version) + ": " +
                                         std::to_string(list.servers.size()) + " servers told, " +
                                         std::to_string(cache_index_.size()) + " known" +
                                         (list.whole ? " (whole list)" : ""));
@@ -323,7 +323,7 @@
     });
 }
 
-void Node::log(std::string_view text) { log_.line(Topic::policy, text); }
+void Node::log(std::string_view text) { log_.line(Topic::policy, "said", text); }
 
 void Node::answer(int inv, std::string text) {
     if (invocation(inv).over) return;
@@ -356,7 +356,7 @@
 
 void Node::wind_down() {
     if (closes_at_ > 0) return;
-    log_.line(Topic::node, "told to end: serves on until the front has moved away");
+    log_.line(Topic::node, "told_to_end", "told to end: serves on until the front has moved away");
     double longest = 0;
     for (const Operation& op : station_.deployment.operations) longest = std::max(longest, op.client_timeout);
     const double left = std::min(longest, kKillMost) + kBeforeKill;
@@ -373,7 +373,7 @@
     if (now - closes_at_ >= kFrontMovesAway && clients_.quiet_since(now - kQuiet) && open_ == 0) {
         done_ = true;
     } else if (now >= last_answers_at_ && open_ > 0) {
-        log_.line(Topic::node, std::to_string(open_) + " invocations errored before the kill");
+        log_.line(Topic::node, "errored_before_kill", std::to_string(open_) + " invocations errored before the kill");
         for (std::size_t i = 0; i < invocations_.size(); ++i) {
             if (invocations_[i].over) continue;
             inbox_.emplace_back([this, inv = static_cast<int>(i)](double then) {
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -56,7 +56,7 @@
     const Server& s = server(cache);
     Connection* c = connection_to(cache);
     if (c == nullptr) {
-        log_.line(topic(cache), s.name + ": no connection is left in the budget, forward not sent");
+        log_.line(topic(cache), "no_connection_left", s.name + ": no connection is left in the budget, forward not sent");
         tell_({inv, forward, cache, Ending::refused, 0, {}});
         return;
     }
@@ -201,7 +201,7 @@
     if (c.busy) taken = parse(c, answer);
     if (c.busy && taken == 0 && !c.stream->full()) {
         if (!budget_.over() || c.stream->input().size() <= kLineMost) return;
-        log_.line(topic(c.cache), server(c.cache).name + ": no memory for its answer, forward given up");
+        log_.line(topic(c.cache), "no_memory", server(c.cache).name + ": no memory for its answer, forward given up");
         return broken(c, Ending::errored);
     }
     // An answer that comes before the forward is written whole was made for another, if for any.
@@ -212,7 +212,7 @@
     if (!c.busy || !answer.sound) {
         // Whose answer the next bytes would be is not known any more.
         const std::string_view in = c.stream->input();
-        log_.line(topic(c.cache),
+        log_.line(topic(c.cache), "nonsense",
                   server(c.cache).name + ": nonsense, connection closed: " + std::string(in.substr(0, 80)));
         // It has answered, so it is neither silent nor full: only this forward fails, which may have run.
         if (c.busy) return broken(c, Ending::errored);
@@ -252,7 +252,7 @@
     if (failure != nullptr) {
         char text[64];
         std::snprintf(text, sizeof text, ": forward %s after %.3f s", failure, took);
-        log_.line(topic(c.cache), server(c.cache).name + text);
+        log_.line(topic(c.cache), "forward_failed", server(c.cache).name + text);
     }
     tell_({c.inv, c.forward, c.cache, ending, took, std::move(body)});
 }
--- /dev/null
+++ b/src/net/serve.cpp
@@ -0,0 +1,70 @@
+#include "serve.h"
+
+#include <glib-unix.h>
+
+#include <cstdio>
+
+#include "exit_codes.h"
+#include "json.h"
+#include "node.h"
+#include "station.h"
+
+namespace brookrelay {
+namespace {
+
+// What a signal's handler needs.
+struct Running {
+    const std::string& path;
+    Log& log;
+    Node& node;
+};
+
+// A file that is wrong must not cost the service that an older one keeps up.
+void read_again(const Running& running) {
+    try {
+        running.node.reload(read_station(running.path));
+    } catch (const BadInput& bad) {
+        running.log.line(Topic::node, "configuration_refused",
+                         "new configuration not taken, the old one stays: " + std::string(bad.what()));
+    }
+}
+
+}  // namespace
+
+int serve(const std::string& path, const OperatorFile& operator_file) {
+    Station station;
+    try {
+        station = read_station(path);
+    } catch (const BadInput& bad) {
+        std::fprintf(stderr, "brookrelay: %s: %s\n", path.c_str(), bad.what());
+        return kWrongUse;
+    }
+    Log log(station.name, operator_file.json_log, operator_file.log_lines_a_second);
+    Node node(station, log);
+    Running running{path, log, node};
+    const auto told_to_end = [](gpointer self) -> gboolean {
+        static_cast<Running*>(self)->node.wind_down();
+        return G_SOURCE_CONTINUE;
+    };
+    const auto told_to_read = [](gpointer self) -> gboolean {
+        read_again(*static_cast<Running*>(self));
+        return G_SOURCE_CONTINUE;
+    };
+    g_unix_signal_add(SIGTERM, told_to_end, &running);
+    g_unix_signal_add(SIGINT, told_to_end, &running);
+    g_unix_signal_add(SIGHUP, told_to_read, &running);
+    std::string complaint;
+    if (!node.start(complaint)) {
+        std::fprintf(stderr, "brookrelay: field 'listen': %s\n", complaint.c_str());
+        return kBroken;
+    }
+    log.line(Topic::node, "serves", "serves on " + station.listen);
+    while (!node.done()) {
+        g_main_context_iteration(nullptr, node.has_work() ? FALSE : TRUE);
+        node.turn();
+    }
+    log.line(Topic::node, "ends", "ends");
+    return kDone;
+}
+
+}  // namespace brookrelay
--- /dev/null
+++ b/src/net/serve.h
@@ -0,0 +1,14 @@
+// The daemon: reads what the node is told at its start, runs the loop, and hears the signals. It owns the node
+// and the log, and never touches a socket.
+#pragma once
+
+#include <string>
+
+#include "operator.h"
+
+namespace brookrelay {
+
+// Returns the program's exit code: kDone after SIGTERM, kWrongUse for a wrong file, kBroken where it cannot listen.
+int serve(const std::string& station_path, const OperatorFile& operator_file);
+
+}  // namespace brookrelay
