--- a/src/cli/check.cpp
+++ b/src/cli/check.cpp
@@ -5,7 +5,9 @@
 #include "exit_codes.h"
 #include "json.h"
 #include "operator.h"
+#include "scenario.h"
 #include "station.h"
+#include "toml.h"
 
 namespace brookrelay {
 namespace {
@@ -33,6 +35,13 @@
                      path.c_str());
         return kWrongUse;
     }
+    if (TomlFile(path).is_scenario()) {
+        const Scenario s = read_scenario(path);
+        std::printf("%s: a scenario: '%s', %.0f s, %d nodes, %zu servers, %zu operations, %zu troubles; sound\n",
+                    path.c_str(), s.name.c_str(), s.length, s.nodes, s.server_names().size() - 1, s.operations.size(),
+                    s.troubles.size());
+        return kDone;
+    }
     (void)read_operator_file(path);
     std::printf("%s: the operators' own file; sound\n", path.c_str());
     return kDone;
--- /dev/null
+++ b/src/config/scenario.cpp
@@ -0,0 +1,282 @@
+#include "scenario.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "toml.h"
+
+namespace brookrelay {
+namespace {
+
+using Table = TomlFile::Table;
+
+constexpr double kHour = 3600;
+constexpr int kServersMost = 400;  // and nodes: what one machine's loopback can play at all
+constexpr int kNodesMost = 64;
+constexpr double kRateMost = 200000;
+
+enum class Who { nobody, servers, tenants, node };
+struct TroubleRow {
+    const char* word;
+    Who who;
+    bool lasts;  // needs a time
+};
+constexpr TroubleRow kTroubles[] = {
+    {"silent", Who::servers, true},         {"crash", Who::servers, false},
+    {"slow", Who::servers, true},           {"cold-return", Who::servers, false},
+    {"void", Who::nobody, false},           {"hot-key", Who::nobody, true},
+    {"origin-slow", Who::nobody, true},     {"origin-stop", Who::nobody, true},
+    {"scan", Who::nobody, true},            {"discovery-down", Who::nobody, true},
+    {"discovery-stale", Who::nobody, true}, {"discovery-restart", Who::nobody, false},
+    {"drain", Who::servers, false},         {"remove", Who::servers, false},
+    {"node-kill", Who::node, false},        {"node-restart", Who::node, false},
+    {"reload", Who::node, false},           {"reload-bad", Who::node, false},
+    {"spoilt", Who::servers, true},         {"tricklers", Who::node, true},
+    {"non-readers", Who::node, true},       {"over-share", Who::tenants, true}};
+static_assert(std::size(kTroubles) == static_cast<std::size_t>(TroubleKind::count));
+
+void read_day(Table& t, Scenario& s) {
+    s.length = t.duration("length", s.length, 1, 2 * kHour);
+    s.count_from = t.duration("count_from", std::min(s.count_from, s.length / 4), 0, s.length);
+    s.seed = static_cast<std::uint64_t>(t.whole("seed", 1, 0, INT64_MAX));
+}
+
+void read_kind(Table& t, Scenario& s) {
+    ServerKind k;
+    k.name = t.text("name", k.name);
+    k.count = static_cast<int>(t.whole("count", k.count, 1, kServersMost));
+    k.slots = static_cast<int>(t.whole("slots", k.slots, 1, 1024));
+    k.queue = static_cast<int>(t.whole("queue", k.queue, 0, 100000));
+    k.speed = t.number("speed", k.speed, 0.01, 1000);
+    k.keys = static_cast<int>(t.whole("keys", k.keys, 0, 10'000'000));
+    k.connections = static_cast<int>(t.whole("connections", k.connections, 1, 60000));
+    k.handshake = t.duration("handshake", k.handshake, 0, 1);
+    k.crowded_from = static_cast<int>(t.whole("crowded_from", k.crowded_from, 1, 100000));
+    k.crowding = t.number("crowding", k.crowding, 0, 100);
+    k.warm_after = t.duration("warm_after", k.warm_after, 0, kHour);
+    s.kinds.push_back(k);
+}
+
+void read_origin(Table& t, OriginKind& o) {
+    o.slots = static_cast<int>(t.whole("slots", o.slots, 1, 4096));
+    o.queue = static_cast<int>(t.whole("queue", o.queue, 0, 1'000'000));
+    o.speed = t.number("speed", o.speed, 0.01, 1000);
+    o.fall_multiple = t.number("fall_multiple", o.fall_multiple, 0, 1000);
+    o.fall_time = t.duration("fall_time", o.fall_time, 0.1, 60);
+    o.halt = t.duration("halt", o.halt, 0.1, 60);
+    o.limit_marked = t.number("limit_marked", o.limit_marked, 0.01, 1);
+}
+
+void read_node(Table& t, Scenario& s) {
+    s.nodes = static_cast<int>(t.whole("count", s.nodes, 1, kNodesMost));
+    s.node_memory_mb = static_cast<int>(t.whole("memory_mb", s.node_memory_mb, 16, 65536));
+    s.node_descriptors = static_cast<int>(t.whole("descriptors", s.node_descriptors, 32, 65536));
+    s.most_forwards = static_cast<int>(t.whole("most_forwards", s.most_forwards, 1, 100));
+    s.most_open = static_cast<int>(t.whole("most_open", s.most_open, 1, 10'000'000));
+    s.connect_timeout = t.duration("connect_timeout", s.connect_timeout, 1e-3, 60);
+    s.connection_idle = t.duration("connection_idle", s.connection_idle, 0.1, kHour);
+}
+
+void read_guarantees(Table& t, Scenario& s) {
+    s.answer_grace = t.duration("answer_grace", s.answer_grace, 0, 10);
+    s.drain_grace = t.duration("drain_grace", s.drain_grace, 0, 60);
+    s.cold_from = t.number("cold_from", s.cold_from, 0.01, 1);
+    s.warm_within = t.duration("warm_within", s.warm_within, 0, kHour);
+    s.fall_multiple = t.number("fall_multiple", s.fall_multiple, 0, 1000);
+    s.fall_time = t.duration("fall_time", s.fall_time, 0.1, 60);
+    s.longest_advice = t.duration("longest_advice", s.longest_advice, 0, 60);
+    s.beyond_share_part = t.number("beyond_share_part", s.beyond_share_part, 0, 1);
+}
+
+void read_operation(Table& t, Scenario& s) {
+    OperationPlan o;
+    o.name = t.needed_text("name");
+    o.write = t.flag("write", false);
+    o.share = t.number("share", o.share, 0, 1e6);
+    o.work = t.duration("work", o.work, 1e-6, 60);
+    o.origin_work = t.duration("origin_work", o.origin_work, 1e-6, 60);
+    o.value_bytes = static_cast<int>(t.whole("value_bytes", o.value_bytes, 64, 60 * 1024));
+    Operation& p = o.promised;
+    p.repeat = static_cast<Repeat>(t.word("repeat", 0, {"idempotent", "deduplicated", "non-idempotent"}));
+    p.scope = static_cast<Scope>(t.word("group", 0, {"all", "zone", "cell"}));
+    p.client_timeout = t.duration("client_timeout", 2, 0.01, 600);
+    p.latency_objective = t.duration("latency_objective", p.client_timeout / 4, 0.001, 600);
+    p.dedup_window = t.duration("dedup_window", 0, 0, kHour);
+    p.billed_value = t.number("billed_value", 1, 0, 1e6);
+    p.tardy_part = t.number("tardy_part", 0, 0, 1);
+    if (p.repeat == Repeat::deduplicated && p.dedup_window <= 0) {
+        t.complain("dedup_window", "is needed where repeat is \"deduplicated\"; expected how long a mark is known");
+    }
+    if (p.latency_objective > p.client_timeout) {
+        t.complain("latency_objective", "expected no more than client_timeout (" + duration_text(p.client_timeout) +
+                                            "), found " + duration_text(p.latency_objective));
+    }
+    s.operations.push_back(o);
+}
+
+void read_clients(Table& t, ClientsPlan& c) {
+    c.rate = t.number("rate", c.rate, 0.1, kRateMost);
+    c.curve = t.curve("curve");
+    c.retries = static_cast<int>(t.whole("retries", c.retries, 0, 20));
+    c.wait = t.duration("wait", c.wait, 0.001, 60);
+    c.patience_least = t.number("patience_least", c.patience_least, 0.05, 1);
+    c.patience_most = t.number("patience_most", c.patience_most, c.patience_least, 1);
+    c.leave = t.number("leave", c.leave, 0, 1);
+    c.mark_repeats = t.flag("mark_repeats", c.mark_repeats);
+    c.front_notices = t.duration("front_notices", c.front_notices, 0, 60);
+}
+
+void read_keys(Table& t, KeysPlan& k) {
+    k.count = static_cast<std::uint64_t>(t.whole("count", static_cast<std::int64_t>(k.count), 1, 50'000'000));
+    k.skew = t.number("skew", k.skew, 0, 3);
+    k.drift = t.number("drift", k.drift, 0, 1e6);
+    k.filled = t.flag("filled", k.filled);
+}
+
+void read_trouble(Table& t, Scenario& s) {
+    Trouble trouble;
+    const std::size_t kind = t.word("what", 0, trouble_words());
+    if (!t.has("what")) t.complain("what", "is missing; expected a kind of trouble");
+    trouble.kind = static_cast<TroubleKind>(kind);
+    const TroubleRow& row = kTroubles[kind];
+    trouble.at = t.duration("at", 0, 0, s.length);
+    if (!t.has("at")) t.complain("at", "is missing; expected a time of the day, such as \"10s\"");
+    trouble.lasts = t.duration("lasts", 0, 0.01, s.length);
+    if (row.lasts && !t.has("lasts")) t.complain("lasts", std::string("is missing; '") + row.word + "' needs it");
+    trouble.factor = t.number("factor", trouble.factor, 0.001, 1e6);
+    trouble.part = t.number("part", trouble.part, 0, 1);
+    trouble.count = static_cast<int>(t.whole("count", trouble.count, 1, 500));
+    trouble.node = static_cast<int>(t.whole("node", 0, 0, s.nodes - 1));
+    trouble.who = t.texts("who");
+    std::vector<std::string> known;
+    if (row.who == Who::servers) known = s.server_names();
+    if (row.who == Who::servers) known.pop_back();  // the origin has troubles of its own
+    if (row.who == Who::tenants) {
+        for (const TenantPlan& one : s.tenants) known.push_back(one.name);
+    }
+    if (known.empty() && !trouble.who.empty()) t.complain("who", std::string("'") + row.word + "' strikes nobody by name");
+    if ((row.who == Who::servers || row.who == Who::tenants) && trouble.who.empty()) {
+        t.complain("who", std::string("is missing; '") + row.word + "' needs a list of names");
+    }
+    for (const std::string& name : trouble.who) {
+        if (known.empty() || std::find(known.begin(), known.end(), name) != known.end()) continue;
+        const std::string meant = nearest(name, known);
+        t.complain("who", "there is no '" + name + "'" + (meant.empty() ? "" : "; did you mean '" + meant + "'?"));
+    }
+    s.troubles.push_back(trouble);
+}
+
+void look_at_whole(Table& root, Scenario& s) {
+    if (s.kinds.empty()) s.kinds.emplace_back();
+    int servers = 0;
+    std::set<std::string> names{"origin"};
+    for (const ServerKind& k : s.kinds) {
+        servers += k.count;
+        if (!names.insert(k.name).second) root.complain("server", "expected names that differ, found '" + k.name + "' again");
+    }
+    if (servers > kServersMost) {
+        root.complain("server", "expected " + std::to_string(kServersMost) + " servers at the most, found " +
+                                    std::to_string(servers));
+    }
+    if (s.operations.empty()) root.complain("operation", "expected at least one entry [[operation]]");
+    std::set<std::string> operations;
+    double share = 0;
+    for (const OperationPlan& o : s.operations) {
+        share += o.share;
+        if (!operations.insert(o.name).second) {
+            root.complain("operation", "expected names that differ, found '" + o.name + "' again");
+        }
+        if (o.name.find_first_of(" ,=\r\n") != std::string::npos) {
+            root.complain("operation", "expected a name without blanks, commas and '=', found '" + o.name + "'");
+        }
+    }
+    if (!s.operations.empty() && share <= 0) root.complain("operation", "expected a share above 0 in one of them");
+    if (s.warm_within > 0) {
+        for (const ServerKind& k : s.kinds) {
+            if (k.warm_after > s.warm_within) {
+                root.complain("server", "expected kind '" + k.name + "' to be warm after no more than " +
+                                            "guarantees.warm_within (" + duration_text(s.warm_within) + "), found " +
+                                            duration_text(k.warm_after));
+            }
+        }
+    }
+}
+
+}  // namespace
+
+const std::vector<std::string>& trouble_words() {
+    static const std::vector<std::string> words = [] {
+        std::vector<std::string> all;
+        for (const TroubleRow& row : kTroubles) all.emplace_back(row.word);
+        return all;
+    }();
+    return words;
+}
+
+double at(const Curve& curve, double time, double otherwise) {
+    if (curve.empty()) return otherwise;
+    if (time <= curve.front().first) return curve.front().second;
+    for (std::size_t i = 1; i < curve.size(); ++i) {
+        const auto& [t1, v1] = curve[i];
+        const auto& [t0, v0] = curve[i - 1];
+        if (time < t1) return v0 + (v1 - v0) * (time - t0) / (t1 - t0);
+    }
+    return curve.back().second;
+}
+
+std::vector<std::string> Scenario::server_names() const {
+    std::vector<std::string> names;
+    for (const ServerKind& k : kinds) {
+        for (int i = 1; i <= k.count; ++i) names.push_back(k.name + "-" + std::to_string(i));
+    }
+    names.emplace_back("origin");
+    return names;
+}
+
+int Scenario::kind_of(int server) const {
+    int kind = 0;
+    while (kind < static_cast<int>(kinds.size()) && server >= kinds[static_cast<std::size_t>(kind)].count) {
+        server -= kinds[static_cast<std::size_t>(kind)].count;
+        ++kind;
+    }
+    return kind;
+}
+
+double Scenario::capacity() const {
+    double all = 0;
+    for (const ServerKind& k : kinds) all += k.count * k.slots * k.speed;
+    return all;
+}
+
+Scenario read_scenario(const std::string& path, const std::vector<std::string>& overrides) {
+    TomlFile file(path, overrides);
+    Scenario s;
+    s.path = path;
+    file.read([&](Table& root) {
+        root.word("format", 0, {"scenario 1"});
+        if (!root.has("format")) root.complain("format", "is missing; expected \"scenario 1\"");
+        s.name = root.text("name", path.substr(path.find_last_of('/') + 1));
+        s.about = root.text("about", "");
+        root.table("day", [&](Table& t) { read_day(t, s); });
+        if (root.has("zones")) s.zones = root.texts("zones");
+        if (s.zones.empty()) root.complain("zones", "expected at least one name");
+        root.table("node", [&](Table& t) { read_node(t, s); });
+        root.each("server", [&](Table& t) { read_kind(t, s); });
+        root.table("origin", [&](Table& t) { read_origin(t, s.origin); });
+        root.table("discovery", [&](Table& t) { s.discovery_lag = t.duration("lag", s.discovery_lag, 0, 60); });
+        root.table("guarantees", [&](Table& t) { read_guarantees(t, s); });
+        root.each("operation", [&](Table& t) { read_operation(t, s); });
+        root.each("tenant", [&](Table& t) {
+            s.tenants.push_back({t.needed_text("name"), t.number("share", 1, 0, 1e6), t.number("quota", 0, 0, 1e9)});
+        });
+        root.table("clients", [&](Table& t) { read_clients(t, s.clients); });
+        root.table("keys", [&](Table& t) { read_keys(t, s.keys); });
+        look_at_whole(root, s);
+        root.each("trouble", [&](Table& t) { read_trouble(t, s); });
+    });
+    file.throw_if_wrong();
+    return s;
+}
+
+}  // namespace brookrelay
--- /dev/null
+++ b/src/config/scenario.h
@@ -0,0 +1,123 @@
+// One day's scenario: the fleet, its work, who asks, and the troubles, as a TOML file says it. Read and checked
+// here alone; the rehearsal plays it on sockets and a model may play it in simulated time. It holds no chance:
+// what is drawn from a seed is drawn by whoever plays it.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "balancer.h"
+
+namespace brookrelay {
+
+using Curve = std::vector<std::pair<double, double>>;  // times rising; between the points a straight line
+double at(const Curve& curve, double time, double otherwise);
+
+struct ServerKind {
+    std::string name = "box";
+    int count = 4;
+    int slots = 2;             // pieces of work at the same time
+    int queue = 64;            // that wait; beyond it `busy`
+    double speed = 1;          // against the work that operations name
+    int keys = 4000;           // copies held, the longest unused goes first
+    int connections = 512;     // open at once; beyond it they are refused
+    double handshake = 200e-6; // work that a new connection costs, seconds
+    int crowded_from = 48;     // work waiting and running, from which each piece takes longer
+    double crowding = 0.5;     // by this part, at twice as much
+    double warm_after = 6;     // seconds from a cold start to the whole capacity, in a straight line
+};
+
+struct OriginKind {
+    int slots = 8;
+    int queue = 400;
+    double speed = 1;
+    double fall_multiple = 3;  // asked for more than this multiple of its capacity ...
+    double fall_time = 2;      // ... for this long it stops; 0: never
+    double halt = 3;           // for so long
+    double limit_marked = 0.8; // the part of its capacity that reports call its limit
+};
+
+struct OperationPlan {
+    std::string name;
+    Operation promised;       // what the nodes are told
+    bool write = false;
+    double share = 1;         // of the arrivals
+    double work = 1e-3;       // at a cache that has the key, seconds of one slot
+    double origin_work = 8e-3;
+    int value_bytes = 200;
+};
+
+struct TenantPlan {
+    std::string name;
+    double share = 1;
+    double quota = 0;
+};
+
+struct ClientsPlan {
+    double rate = 500;        // invocations a second, before any further tries
+    Curve curve;              // multiplies the rate
+    int retries = 2;
+    double wait = 0.15;       // before a further try, times a half to one and a half; doubled by each
+    double patience_least = 0.6, patience_most = 1.0;  // of the client timeout: when a try is given up
+    double leave = 0.02;      // part of the clients that leave before their time is up
+    bool mark_repeats = true;
+    double front_notices = 1; // seconds until the front sends nothing more to a dead node
+};
+
+struct KeysPlan {
+    std::uint64_t count = 20000;
+    double skew = 0.9;        // of Zipf's law
+    double drift = 0;         // ranks a second by which popularity moves on
+    bool filled = true;       // caches begin with the most popular keys
+};
+
+enum class TroubleKind {
+    silent, crash, slow, cold_return, void_copies, hot_key, origin_slow, origin_stop, scan, discovery_down,
+    discovery_stale, discovery_restart, drain, remove, node_kill, node_restart, reload, reload_bad, spoilt,
+    tricklers, non_readers, over_share, count
+};
+const std::vector<std::string>& trouble_words();
+
+struct Trouble {
+    TroubleKind kind = TroubleKind::silent;
+    double at = 0;
+    double lasts = 0;               // 0: until the end, or at once where nothing lasts
+    std::vector<std::string> who;   // servers or tenants, by name
+    int node = 0;
+    double factor = 5;
+    double part = 1;
+    int count = 10;
+};
+
+struct Scenario {
+    std::string path, name, about;
+    std::uint64_t seed = 1;
+    double length = 30;
+    double count_from = 4;    // what is asked before is judged but not accounted
+    int nodes = 2;
+    std::vector<std::string> zones{"room-a"};
+    std::vector<ServerKind> kinds;
+    OriginKind origin;
+    double discovery_lag = 0.15;
+    int node_memory_mb = 192, node_descriptors = 1024, most_forwards = 5, most_open = 20000;
+    double connect_timeout = 0.25, connection_idle = 15;
+    double answer_grace = 0.02, drain_grace = 0.3;
+    double cold_from = 0.3, warm_within = 8, fall_multiple = 4, fall_time = 2;
+    double longest_advice = 2, beyond_share_part = 0.1;
+    std::vector<OperationPlan> operations;
+    std::vector<TenantPlan> tenants;
+    ClientsPlan clients;
+    KeysPlan keys;
+    std::vector<Trouble> troubles;
+
+    std::vector<std::string> server_names() const;  // KIND-1, KIND-2 ... and at the end "origin"
+    int kind_of(int server) const;                  // kinds.size() for the origin
+    double capacity() const;                        // work a second that all warm caches can do
+};
+
+// `overrides`: PATH=VALUE, put over what the file says. Throws BadFile with every complaint.
+Scenario read_scenario(const std::string& path, const std::vector<std::string>& overrides = {});
+
+}  // namespace brookrelay
--- a/src/config/toml.h
+++ b/src/config/toml.h
@@ -78,6 +78,8 @@
     void read(const std::function<void(Table&)>& read_root);
     const std::vector<std::string>& complaints() const { return complaints_; }
     void throw_if_wrong() const;
+    // By its `format`: which of the project's kinds of file it says it is.
+    bool is_scenario() const { return root_["format"].value<std::string>().value_or("").starts_with("scenario"); }
 
   private:
     void put_over(const std::string& assignment);
--- /dev/null
+++ b/src/kit/cache_server.cpp
@@ -0,0 +1,276 @@
+#include "cache_server.h"
+
+#include <algorithm>
+
+#include "schedule.h"
+
+namespace brookrelay::kit {
+namespace {
+
+constexpr double kMissPart = 0.3;  // of the work, for saying that a key is not there
+constexpr double kBusyPart = 0.02; // of the work, for turning a command away
+constexpr double kLook = 0.1;      // s between looks at the push
+
+}  // namespace
+
+CacheServer::CacheServer(World& world, int number, const ServerKind& kind)
+    : world_(world),
+      number_(number),
+      kind_(kind),
+      bench_(kind.slots, kind.queue, [this](double now) { return pace(now); }),
+      store_(static_cast<std::size_t>(kind.keys)),
+      timer_(world.io),
+      listener_(world.io, world.host, [this](Tcp::socket s) { accept(std::move(s)); }) {}
+
+double CacheServer::part(double now) const {
+    if (!cold_) return 1;
+    return ColdCurve{world_.scenario.cold_from, kind_.warm_after}.part(now - started_);
+}
+
+double CacheServer::pace(double now) const {
+    double pace = kind_.speed * part(now) / factor_;
+    const double over = (static_cast<double>(bench_.open()) - kind_.crowded_from) / kind_.crowded_from;
+    if (over > 0) pace /= 1 + kind_.crowding * over;
+    return pace;
+}
+
+double CacheServer::capacity() const {
+    if (!running_) return 0;
+    return kind_.slots * kind_.speed * part(world_.now()) / factor_;
+}
+
+// ---- connections ----------------------------------------------------------------------------------------
+
+void CacheServer::accept(Tcp::socket socket) {
+    if (static_cast<int>(peers_.size()) >= kind_.connections) {
+        Code ignored;
+        socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        return;  // it goes out of scope, and with it the connection
+    }
+    const std::uint64_t id = ++last_peer_;
+    ++counts_.connections;
+    Peer& p = peers_[id];
+    p.handshake = kind_.handshake;
+    p.conn = Conn::accepted(std::move(socket), world_.clock,
+                            {nullptr, [this, id](Conn&) { input(id); }, [this, id](Conn&) { peer_gone(id); }});
+}
+
+void CacheServer::peer_gone(std::uint64_t peer) {
+    const auto found = peers_.find(peer);
+    if (found == peers_.end()) return;
+    for (const auto& [forward, text] : found->second.answers) {
+        const auto job = jobs_.find(forward);
+        if (job == jobs_.end() || job->second.write) continue;
+        // Nobody waits for this read any more, so one that has not begun is not begun. A write goes on: what
+        // its sender gave up may still happen.
+        bench_.forget(forward);
+    }
+    peers_.erase(found);
+}
+
+void CacheServer::input(std::uint64_t peer) {
+    while (true) {
+        const auto found = peers_.find(peer);
+        if (found == peers_.end()) return;
+        Conn& conn = *found->second.conn;
+        Command command;
+        const double first_byte = conn.first_byte_at();
+        const std::size_t taken = read_command(conn.input(), command);
+        if (taken == 0) return;
+        begin(peer, found->second, command, first_byte);
+        if (!conn.is_closed()) conn.take(taken);
+    }
+}
+
+void CacheServer::begin(std::uint64_t peer, Peer& p, const Command& command, double first_byte) {
+    const double now = world_.now();
+    if (command.kind == Command::Kind::hello) {
+        if (!silent_) p.conn->write("MN\r\n");
+        return;
+    }
+    const int forward = world_.forwards++;
+    int inv = -1;
+    const int operation = world_.operation(command.properties.operation);
+    const bool sound = (command.kind == Command::Kind::read || command.kind == Command::Kind::write) &&
+                       read_id(command.id, world_.day, inv) && operation >= 0;
+    ++counts_.forwards;
+    Job job;
+    job.peer = peer;
+    job.inv = inv;
+    job.key = command.key;
+    job.operation = std::max(0, operation);
+    job.write = command.kind == Command::Kind::write;
+    job.id = command.id;
+    job.mark = command.properties.mark;
+    double work = operation < 0 ? 0 : world_.scenario.operations[static_cast<std::size_t>(operation)].work;
+    if (sound && !job.write) {
+        job.hit = store_.get(job.key).has_value();
+        if (!job.hit) work *= kMissPart;
+    }
+    work += p.handshake;
+    p.handshake = 0;
+    meter_.offered(now, work);
+    world_.auditor.forwarded(first_byte, now, forward, sound ? inv : -1, number_, work);
+    if (!sound) {
+        world_.auditor.ended(now, forward, audit::Outcome::errored);
+        p.conn->write("CLIENT_ERROR what no client sent\r\n");
+        return;
+    }
+    p.answers.emplace_back(forward, "");
+    if (silent_) return;
+    jobs_.emplace(forward, job);
+    if (!bench_.enter(now, forward, work)) {
+        ++counts_.busy;
+        jobs_.erase(forward);
+        world_.auditor.ended(now, forward, audit::Outcome::busy);
+        // Turning one away is work too, if little: it counts for the push.
+        meter_.offered(now, work * kBusyPart);
+        return answer(peer, forward, "SERVER_ERROR busy\r\n");
+    }
+    arm();
+}
+
+void CacheServer::finish(int forward) {
+    const auto found = jobs_.find(forward);
+    if (found == jobs_.end()) return;
+    const Job job = std::move(found->second);
+    jobs_.erase(found);
+    const double now = world_.now();
+    const OperationPlan& op = world_.scenario.operations[static_cast<std::size_t>(job.operation)];
+    if (job.write) {
+        // Only where caches take writes for the origin; elsewhere none comes here.
+        if (op.promised.repeat == Repeat::deduplicated && job.mark != 0 &&
+            marks_.seen(now, job.mark, op.promised.dedup_window)) {
+            world_.auditor.dropped_repeat(now, forward);
+        } else {
+            ++world_.versions[job.key];
+            world_.auditor.ran(now, forward);
+            world_.drop_copies(job.key);
+        }
+        world_.auditor.ended(now, forward, audit::Outcome::done);
+        return answer(job.peer, forward, "HD O" + job.id + " cf" + std::to_string(forward) + "\r\n");
+    }
+    const auto version = store_.get(job.key);
+    if (!version) {
+        ++counts_.misses;
+        world_.missed[job.inv].push_back(number_);
+        world_.auditor.ended(now, forward, audit::Outcome::miss);
+        return answer(job.peer, forward, "EN O" + job.id + " h0\r\n");
+    }
+    ++counts_.hits;
+    const std::string value =
+        value_text(forward, job.key, *version, static_cast<std::size_t>(op.value_bytes));
+    spoil_draw_ = key_of_rank(spoil_draw_ + static_cast<std::uint64_t>(forward));
+    if (spoilt_ > 0 && static_cast<double>(spoil_draw_ >> 11) < spoilt_ * 9007199254740992.0) {
+        world_.auditor.ended(now, forward, audit::Outcome::errored);
+        return answer(job.peer, forward, "VA x9 O" + job.id + "\r\n" + value + "\r\n");
+    }
+    world_.auditor.ended(now, forward, audit::Outcome::done);
+    answer(job.peer, forward,
+           "VA " + std::to_string(value.size()) + " O" + job.id + " h1\r\n" + value + "\r\n");
+}
+
+void CacheServer::answer(std::uint64_t peer, int forward, std::string text) {
+    const auto found = peers_.find(peer);
+    if (found == peers_.end()) return;
+    Peer& p = found->second;
+    for (auto& [waiting, said] : p.answers) {
+        if (waiting == forward) said = std::move(text);
+    }
+    while (!p.answers.empty() && !p.answers.front().second.empty()) {
+        p.conn->write(p.answers.front().second);
+        p.answers.pop_front();
+    }
+}
+
+// ---- time -----------------------------------------------------------------------------------------------
+
+void CacheServer::arm() {
+    const double next = bench_.next_end();
+    if (next >= armed_for_) return;
+    armed_for_ = next;
+    timer_.expires_at(world_.clock.at(next));
+    timer_.async_wait([this](const Code& bad) {
+        if (bad) return;
+        armed_for_ = kNever;
+        while (const auto done = bench_.pop_ended(world_.now())) finish(*done);
+        arm();
+    });
+}
+
+void CacheServer::look() {
+    if (!cold_ || !running_) return;
+    const double now = world_.now();
+    if (now - started_ >= kind_.warm_after) {
+        cold_ = false;
+        world_.auditor.warm(now, number_);
+        return;
+    }
+    const Scenario& s = world_.scenario;
+    if (!silent_ && meter_.over(now, capacity(), s.fall_multiple, s.fall_time)) {
+        world_.auditor.pushed_over(now, number_);
+        fallen_ = true;
+        stop();
+        return;
+    }
+    world_.at(now + kLook, [this] { look(); });
+}
+
+// ---- troubles -------------------------------------------------------------------------------------------
+
+void CacheServer::reset_all() {
+    std::map<std::uint64_t, Peer> gone;
+    gone.swap(peers_);
+    for (auto& [id, p] : gone) p.conn->reset();
+    bench_.clear();
+    jobs_.clear();
+    timer_.cancel();
+    armed_for_ = kNever;
+}
+
+void CacheServer::silence(bool on) {
+    if (silent_ == on || !running_) return;
+    silent_ = on;
+    if (on) {
+        // What runs inside goes on, but nothing of it gets out: as of a machine behind a cut wire.
+        bench_.clear();
+        jobs_.clear();
+        timer_.cancel();
+        armed_for_ = kNever;
+        listener_.hush();
+    } else {
+        reset_all();
+        listener_.open();
+    }
+}
+
+void CacheServer::stop() {
+    if (!running_) return;
+    running_ = false;
+    silent_ = false;
+    cold_ = false;
+    listener_.shut();
+    reset_all();
+}
+
+void CacheServer::start_cold() {
+    if (running_) stop();
+    if (fallen_) return;  // what was pushed over stays down
+    store_.clear();
+    marks_.clear();
+    meter_.clear();
+    running_ = true;
+    cold_ = true;
+    started_ = world_.now();
+    world_.auditor.started(started_, number_, true);
+    listener_.open();
+    look();
+}
+
+void CacheServer::drop_part(double part, std::uint64_t chance) {
+    store_.drop_if([&](std::uint64_t key) {
+        return static_cast<double>(key_of_rank(key ^ chance) >> 11) < part * 9007199254740992.0;
+    });
+}
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/src/kit/clients.cpp
@@ -0,0 +1,359 @@
+#include "clients.h"
+
+#include <algorithm>
+#include <boost/random/uniform_01.hpp>
+#include <cmath>
+
+namespace brookrelay::kit {
+namespace {
+
+constexpr double kHoldOn = 0.03;     // s beyond what the judge allows, so that it sees a late answer as one
+constexpr double kLeastPatience = 0.05;
+constexpr double kWindowKept = 0.15; // s of a mark's time that a client leaves for the way
+constexpr std::size_t kIdleMost = 64;
+constexpr double kTrickle = 1.0;     // s between bytes
+constexpr double kUnreadEvery = 0.02;
+
+}  // namespace
+
+struct Crowd::Line {
+    int node = 0;
+    Conn::Ptr conn;
+    bool busy = false;
+    bool fresh = true;    // has carried no whole exchange yet
+    bool resent = false;  // what is on it crossed the end of another connection
+    int inv = -1;         // the last one asked on it
+    User user;
+    double wait = 0;
+};
+
+Crowd::Crowd(World& world, const std::vector<Planned>& schedule, std::uint64_t seed)
+    : world_(world),
+      schedule_(schedule),
+      nodes_(static_cast<std::size_t>(world.scenario.nodes)),
+      chance_(seed * 7919 + 13),
+      arrivals_(world.io),
+      latencies_(world.scenario.operations.size()) {}
+
+Crowd::~Crowd() = default;
+
+void Crowd::node_at(int node, const Tcp::endpoint& where) { nodes_[static_cast<std::size_t>(node)].where = where; }
+
+void Crowd::front_uses(int node, bool yes) { nodes_[static_cast<std::size_t>(node)].used = yes; }
+
+void Crowd::begin() { next_arrival(); }
+
+void Crowd::stop() {
+    stopped_ = true;
+    next_ = schedule_.size();
+    arrivals_.cancel();
+}
+
+void Crowd::next_arrival() {
+    const double now = world_.now();
+    while (next_ < schedule_.size() && schedule_[next_].at <= now) {
+        User user;
+        user.plan = &schedule_[next_++];
+        user.number = last_user_++;
+        user.mark = key_of_rank(static_cast<std::uint64_t>(user.plan->chance) << 32 |
+                                static_cast<std::uint64_t>(user.number)) | 1;
+        attempt(user);
+    }
+    if (next_ >= schedule_.size()) return;
+    arrivals_.expires_at(world_.clock.at(schedule_[next_].at));
+    arrivals_.async_wait([this](const Code& bad) {
+        if (!bad) next_arrival();
+    });
+}
+
+int Crowd::pick(const User& user) {
+    std::vector<int> usable;
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+        if (nodes_[n].used) usable.push_back(static_cast<int>(n));
+    }
+    const std::size_t all = usable.empty() ? nodes_.size() : usable.size();
+    const auto drawn = static_cast<std::size_t>(static_cast<double>(user.plan->node_draw) * static_cast<double>(all));
+    const std::size_t chosen = (drawn + static_cast<std::size_t>(user.tries)) % all;
+    return usable.empty() ? static_cast<int>(chosen) : usable[chosen];
+}
+
+void Crowd::attempt(User user) {
+    const double now = world_.now();
+    const Operation& op = world_.scenario.operations[static_cast<std::size_t>(user.plan->operation)].promised;
+    if (user.tries == 0) user.first_asked = now;
+    double wait = op.client_timeout * static_cast<double>(user.plan->patience);
+    wait = std::min(wait, user.first_asked + op.client_timeout - now);
+    if (op.repeat == Repeat::deduplicated && user.tries > 0) {
+        // Beyond its mark's time a repeat would be a second write; that is the client's to see to.
+        wait = std::min(wait, user.first_asked + op.dedup_window - kWindowKept - now);
+    }
+    if (wait < kLeastPatience) return;
+    const int node = pick(user);
+    Node& n = nodes_[static_cast<std::size_t>(node)];
+    std::shared_ptr<Line> line;
+    if (!n.idle.empty()) {
+        line = n.idle.back();
+        n.idle.pop_back();
+    } else {
+        line = std::make_shared<Line>();
+        line->node = node;
+    }
+    line->busy = true;
+    line->user = user;
+    line->inv = last_inv_++;
+    line->wait = wait;
+    line->resent = false;
+    ++open_;
+    audit::Ask ask;
+    ask.operation = user.plan->operation;
+    ask.tenant = user.plan->tenant;
+    ask.node = node;
+    ask.user = user.number;
+    ask.attempt = user.tries;
+    ask.key = user.plan->key;
+    ask.time_left = wait;
+    world_.auditor.asked(now, line->inv, ask);
+    if (line->conn == nullptr) {
+        dial(node, line);
+    } else {
+        send(line);
+    }
+    const int inv = line->inv;
+    const double patience = wait + world_.scenario.answer_grace + 0.05 + kHoldOn;
+    world_.at(now + patience, [this, line, inv] { expire(line, inv); });
+    if (user.plan->leaves >= 0 && user.tries == 0) {
+        world_.at(now + wait * static_cast<double>(user.plan->leaves), [this, line, inv] {
+            if (!line->busy || line->inv != inv) return;
+            world_.auditor.client_left(world_.now(), inv);
+            line->conn->close();
+            over(line);
+        });
+    }
+}
+
+void Crowd::dial(int node, const std::shared_ptr<Line>& line) {
+    Node& n = nodes_[static_cast<std::size_t>(node)];
+    n.all.insert(line);
+    line->fresh = true;
+    line->conn = Conn::to(world_.io, n.where, world_.clock,
+                          {[this, line](Conn&) { send(line); }, [this, line](Conn&) { input(line); },
+                           [this, line](Conn&) { ended(line); }});
+}
+
+void Crowd::send(const std::shared_ptr<Line>& line) {
+    if (!line->busy) return;
+    const Planned& plan = *line->user.plan;
+    const OperationPlan& op = world_.scenario.operations[static_cast<std::size_t>(plan.operation)];
+    std::string list = "Pc=" + op.name;
+    if (plan.tenant >= 0) list += ",t=" + world_.scenario.tenants[static_cast<std::size_t>(plan.tenant)].name;
+    list += ",d=" + std::to_string(std::llround(line->wait * 1e3));
+    if (op.promised.repeat == Repeat::deduplicated) list += ",k=" + key_text(line->user.mark);
+    if (line->user.tries > 0 && world_.scenario.clients.mark_repeats) list += ",r=1";
+    const std::string id = id_text(world_.day, line->inv);
+    const std::string key = key_text(plan.key);
+    if (op.write) {
+        const std::string value = value_text(0, plan.key, 0, static_cast<std::size_t>(op.value_bytes));
+        line->conn->write("ms " + key + " " + std::to_string(value.size()) + " O" + id + " " + list + "\r\n" + value +
+                          "\r\n");
+    } else {
+        line->conn->write("mg " + key + " v O" + id + " " + list + "\r\n");
+    }
+}
+
+void Crowd::input(const std::shared_ptr<Line>& line) {
+    Conn& conn = *line->conn;
+    while (!conn.is_closed()) {
+        Heard heard;
+        const std::size_t taken = read_heard(conn.input(), heard);
+        if (taken == 0) return;
+        const double now = world_.now();
+        int inv = -1;
+        const bool ours = heard.id.empty() || (read_id(heard.id, world_.day, inv) && inv == line->inv);
+        audit::Reply reply = audit::Reply::errored;
+        int forward = -1;
+        double advice = 0;
+        if (heard.kind == Heard::Kind::value) {
+            reply = audit::Reply::succeeded;
+            Value value;
+            if (ours && !heard.id.empty() && read_value(heard.body, value) && value.key == line->user.plan->key) {
+                forward = value.forward;
+            }
+        } else if (heard.kind == Heard::Kind::receipt) {
+            reply = audit::Reply::succeeded;
+            Value value;
+            const std::string as_value = std::string(heard.body) + ";v0;k0;";
+            if (ours && !heard.id.empty() && read_value(as_value, value)) forward = value.forward;
+        } else if (heard.kind == Heard::Kind::busy) {
+            reply = audit::Reply::throttled;
+            advice = heard.advice;
+        }
+        conn.take(taken);
+        world_.auditor.replied(now, line->inv, reply, forward);
+        if (!line->busy) continue;  // an answer nobody waits for: the judge has it
+        const User user = line->user;
+        line->fresh = false;
+        free_line(line);
+        if (reply == audit::Reply::succeeded) {
+            ++succeeded_;
+            latencies_[static_cast<std::size_t>(user.plan->operation)].add(now - user.first_asked);
+        } else {
+            try_again(user, reply == audit::Reply::throttled ? After::busy : After::errored, advice);
+        }
+    }
+}
+
+void Crowd::free_line(const std::shared_ptr<Line>& line) {
+    --open_;
+    line->busy = false;
+    Node& n = nodes_[static_cast<std::size_t>(line->node)];
+    if (line->conn->is_closed() || n.idle.size() >= kIdleMost) {
+        line->conn->close();
+        n.all.erase(line);
+        return;
+    }
+    n.idle.push_back(line);
+}
+
+void Crowd::over(const std::shared_ptr<Line>& line) {
+    if (line->busy) --open_;
+    line->busy = false;
+    Node& n = nodes_[static_cast<std::size_t>(line->node)];
+    n.all.erase(line);
+    std::erase(n.idle, line);
+}
+
+void Crowd::ended(const std::shared_ptr<Line>& line) {
+    const double now = world_.now();
+    const bool was_busy = line->busy;
+    const bool cut = line->conn->input().starts_with("VA ");
+    const bool was_up = line->conn->is_up();
+    if (!was_busy) return over(line);
+    if (!line->fresh && !line->resent && line->conn->input().empty() && !world_.auditor.has_forwards(line->inv)) {
+        // The node closed this idle connection just when the command was on its way: asked once more, as it is.
+        std::erase(nodes_[static_cast<std::size_t>(line->node)].idle, line);
+        line->resent = true;
+        return dial(line->node, line);
+    }
+    const User user = line->user;
+    const int inv = line->inv;
+    over(line);
+    if (!was_up) {
+        world_.auditor.unreachable(now, inv);
+        return try_again(user, After::unreachable, 0);
+    }
+    if (cut) {
+        world_.auditor.replied(now, inv, audit::Reply::cut, -1);
+    } else {
+        world_.auditor.connection_ended(now, inv);
+    }
+    try_again(user, After::lost, 0);
+}
+
+void Crowd::expire(const std::shared_ptr<Line>& line, int inv) {
+    if (!line->busy || line->inv != inv) return;
+    const User user = line->user;
+    if (line->conn->is_up()) {
+        world_.auditor.gave_up(world_.now(), inv);
+    } else {
+        world_.auditor.unreachable(world_.now(), inv);
+    }
+    line->conn->close();
+    over(line);
+    try_again(user, After::lost, 0);
+}
+
+void Crowd::try_again(const User& user, After after, double advice) {
+    const Operation& op = world_.scenario.operations[static_cast<std::size_t>(user.plan->operation)].promised;
+    if (stopped_ || user.tries >= world_.scenario.clients.retries) return;
+    const bool may_have_run = after == After::errored || after == After::lost;
+    if (op.repeat == Repeat::non_idempotent && may_have_run) return;
+    User again = user;
+    ++again.tries;
+    boost::random::uniform_01<double> unit;
+    double wait = world_.scenario.clients.wait * std::pow(2.0, user.tries) * (0.5 + unit(chance_));
+    if (advice > 0) wait = advice * (1 + 0.25 * unit(chance_));
+    ++waiting_;
+    world_.at(world_.now() + wait, [this, again] {
+        --waiting_;
+        if (!stopped_) attempt(again);
+    });
+}
+
+// ---- who only hinders -----------------------------------------------------------------------------------
+
+// One connection that says a byte of a command a second and never ends it; let go, it comes again.
+struct Crowd::Trickler : std::enable_shared_from_this<Trickler> {
+    Trickler(World& w, const Tcp::endpoint& to, double end) : world(w), where(to), until(end) {}
+    void step() {
+        static constexpr std::string_view kEndless = "mg 00000000000000000000000000000000000000000000000000";
+        if (world.now() >= until) {
+            if (conn) conn->close();
+            return;
+        }
+        if (!conn || conn->is_closed()) {
+            conn = Conn::to(world.io, where, world.clock, {});
+            said = 0;
+        } else if (conn->is_up()) {
+            conn->write(kEndless.substr(said++ % kEndless.size(), 1));
+        }
+        world.at(world.now() + kTrickle, [self = shared_from_this()] { self->step(); });
+    }
+    World& world;
+    const Tcp::endpoint where;
+    const double until;
+    Conn::Ptr conn;
+    std::size_t said = 0;
+};
+
+// One connection that asks again and again and reads nothing of what comes.
+struct Crowd::NonReader : std::enable_shared_from_this<NonReader> {
+    NonReader(Crowd& c, int at_node, int op, double end) : crowd(c), node(at_node), operation(op), until(end) {}
+    void step() {
+        World& world = crowd.world_;
+        const double now = world.now();
+        if (now >= until) {
+            if (conn) conn->close();
+            return;
+        }
+        if (!conn || conn->is_closed()) {
+            conn = Conn::to(world.io, crowd.nodes_[static_cast<std::size_t>(node)].where, world.clock, {});
+            conn->pause();
+        }
+        const OperationPlan& op = world.scenario.operations[static_cast<std::size_t>(operation)];
+        const int inv = crowd.last_inv_++;
+        audit::Ask asked;
+        asked.operation = operation;
+        asked.node = node;
+        asked.user = crowd.last_user_++;
+        asked.key = key_of_rank(0);
+        asked.time_left = op.promised.client_timeout;
+        asked.counts = false;
+        world.auditor.asked(now, inv, asked);
+        world.auditor.client_left(now, inv);
+        conn->write("mg " + key_text(asked.key) + " v O" + id_text(world.day, inv) + " Pc=" + op.name + ",d=" +
+                    std::to_string(std::llround(asked.time_left * 1e3)) + "\r\n");
+        world.at(now + kUnreadEvery, [self = shared_from_this()] { self->step(); });
+    }
+    Crowd& crowd;
+    const int node, operation;
+    const double until;
+    Conn::Ptr conn;
+};
+
+void Crowd::trickle(int node, int count, double until) {
+    for (int i = 0; i < count; ++i) {
+        std::make_shared<Trickler>(world_, nodes_[static_cast<std::size_t>(node)].where, until)->step();
+    }
+}
+
+void Crowd::never_read(int node, int count, double until) {
+    for (std::size_t i = 0; i < world_.scenario.operations.size(); ++i) {
+        if (world_.scenario.operations[i].write) continue;
+        for (int n = 0; n < count; ++n) {
+            std::make_shared<NonReader>(*this, node, static_cast<int>(i), until)->step();
+        }
+        return;
+    }
+}
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/src/kit/clients.h
@@ -0,0 +1,86 @@
+// The clients and the front before the nodes: each user's tries by the drawn schedule, over connections that are
+// kept and opened as clients do, with time-outs, advice taken, further tries as each operation allows them, and
+// clients that leave. It tells the judge what each client saw and never why.
+#pragma once
+
+#include <boost/random/mersenne_twister.hpp>
+#include <deque>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "histogram.h"
+#include "schedule.h"
+#include "wire.h"
+#include "world.h"
+
+namespace brookrelay::kit {
+
+// Named apart from the daemon's own Clients.
+class Crowd {
+  public:
+    Crowd(World& world, const std::vector<Planned>& schedule, std::uint64_t seed);
+    ~Crowd();
+
+    // The front's view of a node: dealt to or not.
+    void node_at(int node, const Tcp::endpoint& where);
+    void front_uses(int node, bool yes);
+    void begin();
+    bool all_over() const { return next_ >= schedule_.size() && open_ == 0 && waiting_ == 0; }
+    void stop();  // asks no more
+
+    // Troubles: connections that hinder a node, asking nothing that is judged.
+    void trickle(int node, int count, double until);
+    void never_read(int node, int count, double until);
+
+    const std::vector<LatencyHistogram>& latencies() const { return latencies_; }  // of what succeeded
+    int open() const { return open_; }
+    std::uint64_t asked() const { return static_cast<std::uint64_t>(last_inv_); }
+    std::uint64_t succeeded() const { return succeeded_; }
+
+  private:
+    struct User {
+        const Planned* plan = nullptr;
+        int number = 0;
+        int tries = 0;
+        double first_asked = 0;
+        std::uint64_t mark = 0;
+    };
+    struct Line;  // one client connection
+    struct Trickler;
+    struct NonReader;
+    struct Node {
+        Tcp::endpoint where;
+        bool used = false;
+        std::deque<std::shared_ptr<Line>> idle;
+        std::set<std::shared_ptr<Line>> all;
+    };
+
+    void next_arrival();
+    void attempt(User user);
+    int pick(const User& user);
+    void send(const std::shared_ptr<Line>& line);
+    void input(const std::shared_ptr<Line>& line);
+    void ended(const std::shared_ptr<Line>& line);
+    void expire(const std::shared_ptr<Line>& line, int inv);
+    void free_line(const std::shared_ptr<Line>& line);
+    void over(const std::shared_ptr<Line>& line);
+    enum class After { busy, errored, unreachable, lost };
+    void try_again(const User& user, After after, double advice);
+    void dial(int node, const std::shared_ptr<Line>& line);
+
+    World& world_;
+    const std::vector<Planned>& schedule_;
+    std::size_t next_ = 0;
+    std::vector<Node> nodes_;
+    boost::random::mt19937_64 chance_;
+    boost::asio::steady_timer arrivals_;
+    int last_inv_ = 0;
+    int last_user_ = 0;
+    int open_ = 0, waiting_ = 0;
+    bool stopped_ = false;
+    std::uint64_t succeeded_ = 0;
+    std::vector<LatencyHistogram> latencies_;
+};
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/src/kit/daemon.cpp
@@ -0,0 +1,225 @@
+#include "daemon.h"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <sched.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cmath>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace brookrelay::kit {
+namespace {
+
+using Json = rapidjson::Writer<rapidjson::StringBuffer>;
+
+void put(Json& json, const char* key, const std::string& value) {
+    json.Key(key);
+    json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+}
+void put(Json& json, const char* key, double value) { json.Key(key), json.Double(value); }
+void put(Json& json, const char* key, int value) { json.Key(key), json.Int(value); }
+void put_us(Json& json, const char* key, double seconds) { json.Key(key), json.Int64(std::llround(seconds * 1e6)); }
+void put_flag(Json& json, const char* key, bool value) { json.Key(key), json.Bool(value); }
+
+double field_after(const std::string& text, const char* name) {
+    const std::size_t at = text.find(name);
+    return at == std::string::npos ? 0 : std::strtod(text.c_str() + at + std::char_traits<char>::length(name), nullptr);
+}
+
+std::string content(const std::string& path) {
+    std::ifstream file(path);
+    std::ostringstream out;
+    out << file.rdbuf();
+    return out.str();
+}
+
+}  // namespace
+
+Daemon::~Daemon() { kill(); }
+
+void Daemon::configure(const std::string& json) const {
+    std::ofstream file(config_path());
+    if (!(file << json << std::flush)) throw std::runtime_error("cannot write " + config_path());
+}
+
+void Daemon::start() {
+    const std::string config = "GW_CONFIG=" + config_path();
+    const std::string log = log_path();
+    const pid_t parent = getpid();
+    pid_ = fork();
+    if (pid_ < 0) throw std::runtime_error("cannot start a process");
+    if (pid_ > 0) return;
+    // However the rehearsal ends, its daemons end with it.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) _exit(127);
+    setpgid(0, 0);  // Ctrl-C is the rehearsal's to hear
+    if (place_.cpu >= 0) {
+        cpu_set_t set;
+        CPU_ZERO(&set);
+        CPU_SET(static_cast<std::size_t>(place_.cpu), &set);
+        sched_setaffinity(0, sizeof set, &set);
+    }
+    const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int none = open("/dev/null", O_RDONLY);
+    dup2(none, 0);
+    dup2(out, 1);
+    dup2(out, 2);
+    for (int fd = 3; fd < 1024; ++fd) close(fd);
+    sigset_t all;
+    sigfillset(&all);
+    sigprocmask(SIG_UNBLOCK, &all, nullptr);
+    std::signal(SIGINT, SIG_DFL);
+    std::signal(SIGTERM, SIG_DFL);
+    std::signal(SIGPIPE, SIG_DFL);
+    putenv(const_cast<char*>(config.c_str()));
+    execl(place_.program.c_str(), place_.program.c_str(), nullptr);
+    _exit(127);
+}
+
+void Daemon::signal(int number) const {
+    if (pid_ > 0) ::kill(pid_, number);
+}
+
+bool Daemon::running() {
+    if (pid_ <= 0) return false;
+    int status = 0;
+    if (waitpid(pid_, &status, WNOHANG) == 0) return true;
+    exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    pid_ = 0;
+    return false;
+}
+
+void Daemon::kill() {
+    if (pid_ <= 0) return;
+    ::kill(pid_, SIGKILL);
+    int status = 0;
+    waitpid(pid_, &status, 0);
+    exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    pid_ = 0;
+}
+
+ProcessFigures Daemon::figures() const {
+    ProcessFigures f;
+    if (pid_ <= 0) return f;
+    const std::string proc = "/proc/" + std::to_string(pid_);
+    // The first two of its numbers: nanoseconds on a core, and waiting for one.
+    std::istringstream schedule(content(proc + "/schedstat"));
+    double ran = 0, waited = 0;
+    schedule >> ran >> waited;
+    f.cpu = ran / 1e9;
+    f.waited = waited / 1e9;
+    const std::string status = content(proc + "/status");
+    f.rss_mb = field_after(status, "VmRSS:") / 1024;
+    f.rss_most_mb = field_after(status, "VmHWM:") / 1024;
+    if (DIR* folder = opendir((proc + "/fd").c_str())) {
+        while (readdir(folder) != nullptr) ++f.descriptors;
+        closedir(folder);
+        f.descriptors -= 2;
+    }
+    return f;
+}
+
+std::string station_json(const Scenario& s, int node, const std::string& listen, const std::string& discovery,
+                         const std::string& known, std::uint64_t seed) {
+    rapidjson::StringBuffer buffer;
+    Json json(buffer);
+    std::ostringstream hex;
+    hex << std::hex << seed;
+    json.StartObject();
+    put(json, "name", "n" + std::to_string(node));
+    put(json, "listen", listen);
+    put(json, "discovery", discovery);
+    put(json, "seed", hex.str());
+    json.Key("limits");
+    json.StartObject();
+    put(json, "cores", 1.0);
+    put(json, "memory_mb", s.node_memory_mb);
+    put(json, "sockets", s.node_descriptors);
+    json.EndObject();
+    json.Key("known");
+    json.RawValue(known.data(), known.size(), rapidjson::kObjectType);
+    json.Key("settings");
+    json.StartObject();
+    put(json, "az", node % static_cast<int>(s.zones.size()));
+    put(json, "my_number", node);
+    put(json, "balancers", s.nodes);
+    json.Key("localities");
+    json.StartArray();
+    for (const std::string& zone : s.zones) json.String(zone.c_str());
+    json.EndArray();
+    json.Key("kinds");
+    json.StartArray();
+    for (const ServerKind& k : s.kinds) json.String(k.name.c_str());
+    json.String("origin");
+    json.EndArray();
+    put(json, "discovery", std::string("pushed"));
+    put_us(json, "granularity_us", 0.005);
+    json.Key("specifics");
+    json.StartObject();
+    put(json, "mode", std::string("aside"));
+    put(json, "origin_kind", static_cast<int>(s.kinds.size()));
+    put(json, "origin_fall_multiple", s.origin.fall_multiple);
+    put_us(json, "origin_fall_us", s.origin.fall_time);
+    json.EndObject();
+    json.Key("permissions");
+    json.StartObject();
+    put_flag(json, "cancel", true);
+    put_flag(json, "may_duplicate", true);
+    put(json, "most_forwards", s.most_forwards);
+    put(json, "max_open", s.most_open);
+    put_us(json, "connect_timeout_us", s.connect_timeout);
+    put_us(json, "conn_idle_us", s.connection_idle);
+    put_flag(json, "retry_after", s.longest_advice > 0);
+    put_us(json, "max_retry_after_us", s.longest_advice);
+    json.EndObject();
+    json.Key("guarantees");
+    json.StartObject();
+    put_us(json, "grace_to_answer_us", s.answer_grace);
+    put_us(json, "stop_sending_within_us", s.drain_grace);
+    put(json, "cold_from", s.cold_from);
+    put_us(json, "warm_within_us", s.warm_within);
+    put(json, "fall_multiple", s.fall_multiple);
+    put_us(json, "fall_us", s.fall_time);
+    json.EndObject();
+    put(json, "beyond_share_billed_value", s.beyond_share_part);
+    json.Key("operations");
+    json.StartArray();
+    for (const OperationPlan& o : s.operations) {
+        static constexpr const char* kRepeats[] = {"idempotent", "deduplicated", "at_most_once"};
+        static constexpr const char* kScopes[] = {"all", "zone", "cell"};
+        json.StartObject();
+        put(json, "name", o.name);
+        put(json, "repeat", std::string(kRepeats[static_cast<int>(o.promised.repeat)]));
+        put(json, "group", std::string(kScopes[static_cast<int>(o.promised.scope)]));
+        put_us(json, "key_ttl_us", o.promised.dedup_window);
+        put_us(json, "client_timeout_us", o.promised.client_timeout);
+        put_us(json, "latency_objective_us", o.promised.latency_objective);
+        put(json, "billed_value", o.promised.billed_value);
+        put(json, "tardy_billed_value", o.promised.tardy_part);
+        json.EndObject();
+    }
+    json.EndArray();
+    json.Key("parties");
+    json.StartArray();
+    for (const TenantPlan& t : s.tenants) {
+        json.StartObject();
+        put(json, "name", t.name);
+        put(json, "quota_per_s", t.quota);
+        json.EndObject();
+    }
+    json.EndArray();
+    json.EndObject();
+    json.EndObject();
+    return buffer.GetString();
+}
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/src/kit/discovery_server.cpp
@@ -0,0 +1,193 @@
+#include "discovery_server.h"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "digits.h"
+#include "wire.h"
+
+namespace brookrelay::kit {
+namespace {
+
+constexpr std::int64_t kRestartedAt = 1;  // the version with which a restarted discovery begins
+constexpr double kWaitMost = 60;
+
+const char* word(Standing s) {
+    return s == Standing::ready ? "SERVING" : s == Standing::draining ? "DRAINING" : "DELETED";
+}
+
+// `index` and `wait` of a target.
+bool parameter(std::string_view target, std::string_view name, std::int64_t& value) {
+    const std::size_t at = target.find(std::string(name) + "=");
+    if (at == std::string_view::npos) return false;
+    std::string_view digits = target.substr(at + name.size() + 1);
+    digits = digits.substr(0, std::min(digits.find('&'), digits.size()));
+    return read_digits(digits, value);
+}
+
+}  // namespace
+
+DiscoveryServer::Agent::Agent(World& world, int node, DiscoveryServer& owner)
+    : listener(world.io, world.host, [&owner, node](Tcp::socket s) { owner.accept(node, std::move(s)); }) {}
+
+DiscoveryServer::DiscoveryServer(World& world, int nodes)
+    : world_(world),
+      entries_(world.scenario.server_names().size()),
+      names_(world.scenario.server_names()),
+      wall_at_start_(
+          std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() - world.now()) {
+    for (int n = 0; n < nodes; ++n) agents_.push_back(std::make_unique<Agent>(world, n, *this));
+}
+
+void DiscoveryServer::put(int server, const std::string& address, Standing standing, double started) {
+    entries_[static_cast<std::size_t>(server)] = {address, standing, started, ++version_};
+    tell_all();
+}
+
+void DiscoveryServer::list(int server, const std::string& address, Standing standing, double started) {
+    const auto change = [this, server, address, standing, started] { put(server, address, standing, started); };
+    world_.at(world_.now() + world_.scenario.discovery_lag, [this, change] {
+        if (stale_) {
+            kept_back_.push_back(change);
+        } else {
+            change();
+        }
+    });
+}
+
+std::string DiscoveryServer::entry_text(std::size_t server) const {
+    const Entry& e = entries_[server];
+    const Scenario& s = world_.scenario;
+    const int kind = s.kind_of(static_cast<int>(server));
+    const bool origin = static_cast<int>(server) == world_.origin();
+    rapidjson::StringBuffer buffer;
+    rapidjson::Writer<rapidjson::StringBuffer> json(buffer);
+    json.StartObject();
+    json.Key("host"), json.String(names_[server].c_str());
+    json.Key("dial"), json.String(e.address.c_str());
+    json.Key("site"), json.String(s.zones[origin ? 0 : server % s.zones.size()].c_str());
+    json.Key("class"), json.String(origin ? "origin" : s.kinds[static_cast<std::size_t>(kind)].name.c_str());
+    json.Key("block"), json.Int(origin ? 0 : static_cast<int>(server % s.zones.size()));
+    json.Key("health"), json.String(word(e.standing));
+    json.Key("share"), json.Double(1.0);
+    json.Key("born_ms");
+    if (e.started < 0) {
+        json.Int64(0);
+    } else {
+        json.Int64(std::llround((wall_at_start_ + e.started) * 1e3));
+    }
+    json.EndObject();
+    return buffer.GetString();
+}
+
+std::string DiscoveryServer::whole_list() const {
+    std::string hosts;
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        if (entries_[i].standing == Standing::gone || entries_[i].address.empty()) continue;
+        if (left_out_.contains(static_cast<int>(i))) continue;
+        hosts += (hosts.empty() ? "" : ",") + entry_text(i);
+    }
+    return R"({"seq":)" + std::to_string(version_) + R"(,"whole":true,"hosts":[)" + hosts + "]}";
+}
+
+void DiscoveryServer::accept(int node, Tcp::socket socket) {
+    Agent& agent = *agents_[static_cast<std::size_t>(node)];
+    agent.conns.insert(Conn::accepted(std::move(socket), world_.clock,
+                                      {nullptr, [this, node](Conn& c) { input(node, c); },
+                                       [&agent](Conn& c) {
+                                           if (agent.watch && agent.watch->conn.get() == &c) agent.watch.reset();
+                                           agent.conns.erase(c.shared_from_this());
+                                       }}));
+}
+
+void DiscoveryServer::input(int node, Conn& conn) {
+    Request request;
+    if (down_) return;  // it is heard when the outage is over
+    const std::size_t taken = read_request(conn.input(), request);
+    if (taken == 0) return;
+    const std::string target(request.target);
+    conn.take(taken);
+    std::int64_t index = -1, wait = 0;
+    const bool watches = parameter(target, "index", index);
+    (void)parameter(target, "wait", wait);
+    if (!watches || index > version_ || index < version_ || wait <= 0) return answer(node, conn, watches ? index : -1);
+    Agent& agent = *agents_[static_cast<std::size_t>(node)];
+    agent.watch = std::make_unique<Watch>(Watch{conn.shared_from_this(), index, ++watches_});
+    const double patience = std::min(static_cast<double>(wait) / 1e3, kWaitMost);
+    world_.at(world_.now() + patience, [this, &agent, node, number = watches_] {
+        if (!agent.watch || agent.watch->number != number || down_) return;
+        const auto watch = std::move(agent.watch);
+        answer(node, *watch->conn, watch->index);
+    });
+}
+
+void DiscoveryServer::tell_all() {
+    if (down_) return;
+    for (std::size_t n = 0; n < agents_.size(); ++n) {
+        if (!agents_[n]->watch) continue;
+        const auto watch = std::move(agents_[n]->watch);
+        answer(static_cast<int>(n), *watch->conn, watch->index);
+    }
+}
+
+void DiscoveryServer::answer(int node, Conn& conn, std::int64_t index) {
+    const double now = world_.now();
+    const bool whole = index < 0 || index > version_;
+    std::string body;
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        const Entry& e = entries_[i];
+        const int server = static_cast<int>(i);
+        const bool absent = left_out_.contains(server) || (e.standing == Standing::gone && whole) || e.address.empty();
+        if (whole) {
+            // Who is not in a whole list has left.
+            world_.auditor.told(now, node, server, absent ? Standing::gone : e.standing, !absent && e.started >= 0);
+            continue;
+        }
+        if (e.changed <= index || left_out_.contains(server)) continue;
+        body += (body.empty() ? "" : ",") + entry_text(i);
+        world_.auditor.told(now, node, server, e.standing, e.started >= 0);
+    }
+    body = whole ? whole_list() : R"({"seq":)" + std::to_string(version_) + R"(,"whole":false,"hosts":[)" + body + "]}";
+    conn.write(http_response(200, body, "Content-Type: application/json"));
+}
+
+void DiscoveryServer::down(bool on) {
+    if (down_ == on) return;
+    down_ = on;
+    if (on) return;
+    for (std::size_t n = 0; n < agents_.size(); ++n) {
+        const std::set<Conn::Ptr> conns = agents_[n]->conns;
+        for (const Conn::Ptr& c : conns) {
+            if (!c->is_closed() && !c->input().empty()) input(static_cast<int>(n), *c);
+        }
+    }
+    tell_all();
+}
+
+void DiscoveryServer::stale(bool on) {
+    stale_ = on;
+    if (on) return;
+    for (const auto& change : std::exchange(kept_back_, {})) change();
+}
+
+void DiscoveryServer::restart(std::set<int> left_out) {
+    left_out_ = std::move(left_out);
+    version_ = kRestartedAt;
+    for (Entry& e : entries_) e.changed = kRestartedAt;
+    for (auto& agent : agents_) {
+        agent->watch.reset();
+        const std::set<Conn::Ptr> conns = std::exchange(agent->conns, {});
+        for (const Conn::Ptr& c : conns) c->reset();
+    }
+}
+
+void DiscoveryServer::readmit() {
+    for (const int server : std::exchange(left_out_, {})) entries_[static_cast<std::size_t>(server)].changed = ++version_;
+    tell_all();
+}
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/src/kit/discovery_server.h
@@ -0,0 +1,70 @@
+// Discovery, as the protocol's page has it: one list with versions, told through an agent beside each node, with
+// a lag; and with outages, a list that stands still, and restarts with other versions. It owns the list, and
+// tells the judge of each entry at the moment when it is written to a node.
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "world.h"
+
+namespace brookrelay::kit {
+
+class DiscoveryServer {
+  public:
+    DiscoveryServer(World& world, int nodes);
+
+    // What the list says of a server: at once, as before a day begins, or from `lag` after now on.
+    void put(int server, const std::string& address, Standing standing, double started);
+    void list(int server, const std::string& address, Standing standing, double started);
+    std::string agent(int node) const { return agents_[static_cast<std::size_t>(node)]->listener.address(); }
+    // The list as it now stands, in its own form: what a node that starts is given.
+    std::string whole_list() const;
+    std::int64_t version() const { return version_; }
+
+    // Troubles.
+    void down(bool on);   // silent, with its connections open
+    void stale(bool on);  // news is kept back until it ends
+    void restart(std::set<int> left_out);  // versions begin anew, and the list lacks these
+    void readmit();                        // the list lacks nobody any more
+
+  private:
+    struct Entry {
+        std::string address;
+        Standing standing = Standing::ready;
+        double started = -1;
+        std::int64_t changed = 0;  // the version in which it changed last
+    };
+    struct Watch {
+        Conn::Ptr conn;
+        std::int64_t index = 0;
+        std::uint64_t number = 0;
+    };
+    struct Agent {
+        Agent(World& world, int node, DiscoveryServer& owner);
+        std::unique_ptr<Watch> watch;
+        std::set<Conn::Ptr> conns;
+        Listener listener;
+    };
+
+    void accept(int node, Tcp::socket socket);
+    void input(int node, Conn& conn);
+    void tell_all();
+    void answer(int node, Conn& conn, std::int64_t index);
+    std::string entry_text(std::size_t server) const;
+
+    World& world_;
+    std::vector<Entry> entries_;   // as the agents know it
+    std::vector<std::string> names_;
+    std::vector<std::unique_ptr<Agent>> agents_;
+    std::int64_t version_ = 1;
+    const double wall_at_start_;  // one reading: a start that is told twice must be told alike
+    std::uint64_t watches_ = 0;
+    bool down_ = false, stale_ = false;
+    std::set<int> left_out_;
+    std::vector<std::function<void()>> kept_back_;
+};
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/src/kit/histogram.h
@@ -0,0 +1,58 @@
+// Latencies in bins whose width grows with the time: the parts of a distribution to about two in a hundred, in
+// a few kilobytes. No I/O.
+#pragma once
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <vector>
+
+namespace brookrelay::kit {
+
+class LatencyHistogram {
+  public:
+    LatencyHistogram() : bins_(boost::histogram::make_histogram(Axis(kBins, kLeast, kMost))) {}
+    void add(double seconds) {
+        bins_(seconds);
+        ++count_;
+        sum_ += seconds;
+        most_ = std::max(most_, seconds);
+    }
+    void add(const LatencyHistogram& other) {
+        bins_ += other.bins_;
+        count_ += other.count_;
+        sum_ += other.sum_;
+        most_ = std::max(most_, other.most_);
+    }
+    std::uint64_t count() const { return count_; }
+    double mean() const { return count_ > 0 ? sum_ / static_cast<double>(count_) : 0; }
+    double most() const { return most_; }
+    // The time within which this part of all fell; 0 if there is none.
+    double quantile(double part) const {
+        const double wanted = part * static_cast<double>(count_);
+        double seen = bins_.at(-1);  // under the first bin
+        if (count_ > 0 && seen >= wanted) return kLeast;
+        for (int i = 0; i < kBins; ++i) {
+            seen += bins_.at(i);
+            if (seen >= wanted && seen > 0) return std::min(bins_.axis().bin(i).upper(), most_);
+        }
+        return most_;
+    }
+    // Time and count of each bin that is not empty.
+    std::vector<std::pair<double, double>> bins() const {
+        std::vector<std::pair<double, double>> all;
+        for (int i = 0; i < kBins; ++i) {
+            if (bins_.at(i) > 0) all.emplace_back(bins_.axis().bin(i).center(), bins_.at(i));
+        }
+        return all;
+    }
+
+  private:
+    static constexpr int kBins = 600;  // to 2% of the time itself
+    static constexpr double kLeast = 10e-6, kMost = 100;
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    decltype(boost::histogram::make_histogram(Axis(1, 1, 2))) bins_;
+    std::uint64_t count_ = 0;
+    double sum_ = 0, most_ = 0;
+};
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/src/kit/rehearsal.cpp
@@ -0,0 +1,523 @@
+#include "rehearsal.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/signal_set.hpp>
+#include <cmath>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <random>
+
+#include "cache_server.h"
+#include "clients.h"
+#include "discovery_server.h"
+#include "origin_server.h"
+#include "schedule.h"
+
+namespace brookrelay::kit {
+namespace {
+
+constexpr double kStartMost = 15;       // s for a daemon to answer at all
+constexpr double kLookAtSelf = 0.005;   // s between looks at the own lateness
+constexpr double kLookAtDaemons = 0.05;
+constexpr double kFrontMovesAway = 0.3; // s after SIGTERM until the front deals a node nothing new
+constexpr double kKillAfter = 0.7;      // s more than the longest client timeout, after SIGTERM
+constexpr double kKillMost = 3.0;
+constexpr double kNodeAwayUnsaid = 1.0; // s until a killed node starts again
+constexpr double kRemoveUnsaid = 2.0;   // s from draining to gone
+constexpr double kCrashUnsaid = 2.0;
+constexpr double kReloadBadFor = 1.0;
+constexpr double kScheduleFrom = 0.5;   // s between the nodes' being ready and the day's begin
+
+std::size_t index(int i) { return static_cast<std::size_t>(i); }
+
+audit::Terms terms_of(const Scenario& s) {
+    audit::Terms t;
+    for (const OperationPlan& o : s.operations) {
+        t.operations.push_back(o.promised);
+        t.operation_names.push_back(o.name);
+    }
+    for (const TenantPlan& p : s.tenants) {
+        t.tenants.push_back({p.quota});
+        t.tenant_names.push_back(p.name);
+    }
+    t.server_names = s.server_names();
+    t.origin = static_cast<int>(t.server_names.size()) - 1;
+    for (std::size_t i = 0; i < t.server_names.size(); ++i) {
+        t.server_zones.push_back(static_cast<int>(i % s.zones.size()));
+        t.server_cells.push_back(static_cast<int>(i % s.zones.size()));
+    }
+    t.nodes = s.nodes;
+    t.answer_grace = s.answer_grace;
+    t.drain_grace = s.drain_grace;
+    t.fall_time = std::max(s.fall_time, s.origin.fall_time);
+    t.beyond_share_part = s.beyond_share_part;
+    t.day = s.length;
+    t.count_from = s.count_from;
+    return t;
+}
+
+class Day {
+  public:
+    explicit Day(const DayPlan& plan);
+    DayResult play();
+
+  private:
+    struct Node {
+        std::unique_ptr<Daemon> daemon;
+        std::string listen;
+        std::uint64_t starts = 0;
+        bool ready = false;
+        double waited_before = 0, cpu_before = 0, cpu_gone = 0;
+    };
+
+    void start_node(int node);
+    void ask_whether_ready(int node, double until);
+    void ready(int node);
+    void begin();
+    void bring_about(const Trouble& trouble);
+    void strike(const Trouble& trouble, CacheServer& server);
+    void terminate_node(int node);
+    void when_ended(int node, double kill_at);
+    void look_at_self(double expected);
+    void look_at_daemons();
+    void each_second();
+    void look_whether_over();
+    void mark(const std::string& text) { result_.marks.emplace_back(clock_.now() - begun_, text); }
+    CacheServer* server(const std::string& name);
+    bool interrupted() const { return plan_.interrupted && plan_.interrupted(); }
+    void fail(const std::string& why);
+    // Times of the day against the clock of the stand-ins, which starts earlier.
+    double of_day(double clock_time) const { return clock_time - begun_; }
+
+    const DayPlan& plan_;
+    const Scenario& scenario_;
+    Io io_;
+    Clock clock_;
+    audit::Auditor auditor_;
+    World world_;
+    std::vector<Planned> schedule_;
+    std::vector<std::unique_ptr<CacheServer>> caches_;
+    std::unique_ptr<OriginServer> origin_;
+    std::unique_ptr<DiscoveryServer> discovery_;
+    std::unique_ptr<Crowd> crowd_;
+    std::vector<Node> nodes_;
+    double begun_ = 0;
+    bool has_begun_ = false, ended_ = false;
+    std::vector<std::uint64_t> forwards_before_;
+    DayResult result_;
+};
+
+Day::Day(const DayPlan& plan)
+    : plan_(plan),
+      scenario_(plan.scenario),
+      auditor_(terms_of(plan.scenario)),
+      world_{io_, clock_, plan.scenario, auditor_, own_loopback(), 0, 0, {}, {}, {}, {}},
+      nodes_(index(plan.scenario.nodes)) {
+    std::random_device any;
+    world_.day = any();  // ids of days that run side by side must not meet; nothing that counts hangs on it
+    const int servers = static_cast<int>(scenario_.server_names().size()) - 1;
+    for (int i = 0; i < servers; ++i) {
+        caches_.push_back(std::make_unique<CacheServer>(world_, i, scenario_.kinds[index(scenario_.kind_of(i))]));
+    }
+    origin_ = std::make_unique<OriginServer>(world_, servers);
+    discovery_ = std::make_unique<DiscoveryServer>(world_, scenario_.nodes);
+    for (int i = 0; i < servers; ++i) discovery_->put(i, caches_[index(i)]->address(), Standing::ready, -1);
+    discovery_->put(servers, origin_->address(), Standing::ready, -1);
+    world_.fill = [this](int to, std::uint64_t key, std::uint32_t version) {
+        // A write since then has dropped the copies; an older answer must not bring one back.
+        if (version == world_.version(key)) caches_[index(to)]->store(key, version);
+    };
+    world_.drop_copies = [this](std::uint64_t key) {
+        for (const auto& c : caches_) c->drop(key);
+    };
+    if (!scenario_.keys.filled) return;
+    for (const auto& c : caches_) {
+        const int most = scenario_.kinds[index(scenario_.kind_of(c->number()))].keys;
+        const std::uint64_t keys = std::min<std::uint64_t>(scenario_.keys.count, static_cast<std::uint64_t>(most));
+        for (std::uint64_t rank = keys; rank > 0; --rank) c->store(key_of_rank(rank - 1), 0);
+    }
+}
+
+CacheServer* Day::server(const std::string& name) {
+    const std::vector<std::string> names = scenario_.server_names();
+    const auto at = std::find(names.begin(), names.end(), name);
+    return caches_[static_cast<std::size_t>(at - names.begin())].get();
+}
+
+void Day::fail(const std::string& why) {
+    if (result_.failed.empty()) result_.failed = why;
+    io_.stop();
+}
+
+// ---- nodes ----------------------------------------------------------------------------------------------
+
+void Day::start_node(int node) {
+    Node& n = nodes_[index(node)];
+    n.ready = false;
+    n.waited_before = n.cpu_before = 0;
+    ++n.starts;
+    const std::uint64_t seed = key_of_rank(plan_.seed * 1000 + static_cast<std::uint64_t>(node) * 100 + n.starts);
+    n.daemon->configure(station_json(scenario_, node, n.listen, discovery_->agent(node), discovery_->whole_list(), seed));
+    auditor_.node_up(world_.now(), node);
+    n.daemon->expected_to_end = false;
+    n.daemon->start();
+    ask_whether_ready(node, world_.now() + kStartMost);
+}
+
+void Day::ask_whether_ready(int node, double until) {
+    Node& n = nodes_[index(node)];
+    if (ended_) return;
+    if (!n.daemon->running()) {
+        if (n.daemon->expected_to_end) return;
+        if (has_begun_) return;  // look_at_daemons() says so
+        return fail("the daemon ended at its start with exit code " + std::to_string(n.daemon->exit_code()) + "; see " +
+                    n.daemon->log_path());
+    }
+    if (world_.now() > until) return fail("the daemon does not answer; see " + n.daemon->log_path());
+    const std::size_t colon = n.listen.find(':');
+    const Tcp::endpoint where(boost::asio::ip::make_address(n.listen.substr(0, colon)),
+                              static_cast<unsigned short>(std::stoul(n.listen.substr(colon + 1))));
+    const auto again = [this, node, until](Conn&) {
+        world_.at(world_.now() + 0.02, [this, node, until] { ask_whether_ready(node, until); });
+    };
+    const auto conn = Conn::to(io_, where, clock_,
+                               {[](Conn& c) { c.write("mn\r\n"); },
+                                [this, node](Conn& c) {
+                                    if (!c.input().starts_with("MN")) return;
+                                    c.close();
+                                    ready(node);
+                                },
+                                again});
+}
+
+void Day::ready(int node) {
+    Node& n = nodes_[index(node)];
+    if (n.ready || ended_) return;
+    n.ready = true;
+    crowd_->front_uses(node, true);
+    if (has_begun_) return mark("node " + std::to_string(node) + " serves again");
+    if (!std::all_of(nodes_.begin(), nodes_.end(), [](const Node& one) { return one.ready; })) return;
+    has_begun_ = true;
+    // Only now is it known when the day begins, and the day's times are the clock's from here on.
+    begun_ = world_.now() + kScheduleFrom;
+    auditor_.day_begins(begun_);
+    for (Planned& p : schedule_) p.at += begun_;
+    begin();
+}
+
+void Day::begin() {
+    crowd_->begin();
+    for (const Trouble& t : scenario_.troubles) world_.at(begun_ + t.at, [this, &t] { bring_about(t); });
+    forwards_before_.assign(caches_.size() + 1, 0);
+    world_.at(begun_ + 1, [this] { each_second(); });
+    look_at_daemons();
+    look_at_self(world_.now() + kLookAtSelf);
+    world_.at(begun_ + scenario_.length, [this] { look_whether_over(); });
+}
+
+void Day::terminate_node(int node) {
+    Node& n = nodes_[index(node)];
+    n.daemon->expected_to_end = true;
+    n.daemon->signal(SIGTERM);
+    double longest = 0;
+    for (const OperationPlan& o : scenario_.operations) longest = std::max(longest, o.promised.client_timeout);
+    const double kill_at = world_.now() + std::min(longest, kKillMost) + kKillAfter;
+    world_.at(world_.now() + kFrontMovesAway, [this, node] { crowd_->front_uses(node, false); });
+    when_ended(node, kill_at);
+}
+
+void Day::when_ended(int node, double kill_at) {
+    Node& n = nodes_[index(node)];
+    if (ended_) return;
+    if (n.daemon->running()) {
+        if (world_.now() >= kill_at) {
+            // It was told long enough ago: what it still holds now is lost, and by its own fault.
+            n.daemon->kill();
+            mark("node " + std::to_string(node) + " had to be killed after SIGTERM");
+        } else {
+            world_.at(world_.now() + 0.02, [this, node, kill_at] { when_ended(node, kill_at); });
+            return;
+        }
+    }
+    n.cpu_gone += n.cpu_before;
+    if (n.daemon->exit_code() != 0 && n.daemon->exit_code() != 128 + SIGKILL) ++result_.crashes;
+    mark("node " + std::to_string(node) + " has ended, exit code " + std::to_string(n.daemon->exit_code()));
+    start_node(node);
+}
+
+// ---- troubles -------------------------------------------------------------------------------------------
+
+void Day::strike(const Trouble& t, CacheServer& s) {
+    const int number = s.number();
+    const double until = world_.now() + t.lasts;
+    switch (t.kind) {
+        case TroubleKind::silent:
+            s.silence(true);
+            world_.at(until, [&s] { s.silence(false); });
+            break;
+        case TroubleKind::slow:
+            s.slow(t.factor);
+            world_.at(until, [&s] { s.slow(1); });
+            break;
+        case TroubleKind::spoilt:
+            s.spoil(t.part);
+            world_.at(until, [&s] { s.spoil(0); });
+            break;
+        case TroubleKind::crash:
+        case TroubleKind::cold_return: {
+            s.stop();
+            const bool at_once = t.kind == TroubleKind::cold_return;
+            if (!at_once) discovery_->list(number, s.address(), Standing::gone, s.started());
+            const double away = at_once ? 0.05 : t.lasts > 0 ? t.lasts : kCrashUnsaid;
+            world_.at(world_.now() + away, [this, &s, number] {
+                s.start_cold();
+                if (s.running()) discovery_->list(number, s.address(), Standing::ready, s.started());
+            });
+            break;
+        }
+        case TroubleKind::drain:
+            discovery_->list(number, s.address(), Standing::draining, s.started());
+            if (t.lasts > 0) {
+                world_.at(until, [this, &s, number] {
+                    discovery_->list(number, s.address(), Standing::ready, s.started());
+                });
+            }
+            break;
+        case TroubleKind::remove:
+            discovery_->list(number, s.address(), Standing::draining, s.started());
+            world_.at(world_.now() + (t.lasts > 0 ? t.lasts : kRemoveUnsaid), [this, &s, number] {
+                discovery_->list(number, s.address(), Standing::gone, s.started());
+                // Work that is out there is ended first; a well-kept server goes only then.
+                world_.at(world_.now() + scenario_.discovery_lag + 1, [&s] { s.stop(); });
+            });
+            break;
+        default: break;
+    }
+}
+
+void Day::bring_about(const Trouble& t) {
+    if (ended_) return;
+    const double until = world_.now() + t.lasts;
+    std::string text = trouble_words()[static_cast<std::size_t>(t.kind)];
+    for (const std::string& name : t.who) text += " " + name;
+    switch (t.kind) {
+        case TroubleKind::silent:
+        case TroubleKind::crash:
+        case TroubleKind::slow:
+        case TroubleKind::cold_return:
+        case TroubleKind::drain:
+        case TroubleKind::remove:
+        case TroubleKind::spoilt:
+            for (const std::string& name : t.who) strike(t, *server(name));
+            break;
+        case TroubleKind::void_copies:
+            for (const auto& c : caches_) c->drop_part(t.part, plan_.seed);
+            break;
+        case TroubleKind::origin_slow:
+            origin_->slow(t.factor);
+            world_.at(until, [this] { origin_->slow(1); });
+            break;
+        case TroubleKind::origin_stop: origin_->halt(t.lasts); break;
+        case TroubleKind::discovery_down:
+            discovery_->down(true);
+            world_.at(until, [this] { discovery_->down(false); });
+            break;
+        case TroubleKind::discovery_stale:
+            discovery_->stale(true);
+            world_.at(until, [this] { discovery_->stale(false); });
+            break;
+        case TroubleKind::discovery_restart: {
+            std::set<int> left_out;
+            for (const std::string& name : t.who) left_out.insert(server(name)->number());
+            discovery_->restart(left_out);
+            if (t.lasts > 0) world_.at(until, [this] { discovery_->readmit(); });
+            break;
+        }
+        case TroubleKind::node_kill: {
+            Node& n = nodes_[index(t.node)];
+            text += " " + std::to_string(t.node);
+            n.daemon->expected_to_end = true;
+            n.cpu_gone += n.cpu_before;
+            // The judge hears of it first: what breaks from here on is the kill's doing.
+            auditor_.node_killed(world_.now(), t.node);
+            n.daemon->kill();
+            world_.at(world_.now() + scenario_.clients.front_notices,
+                      [this, node = t.node] { if (!nodes_[index(node)].ready) crowd_->front_uses(node, false); });
+            n.ready = false;
+            world_.at(world_.now() + (t.lasts > 0 ? t.lasts : kNodeAwayUnsaid),
+                      [this, node = t.node] { if (!ended_) start_node(node); });
+            break;
+        }
+        case TroubleKind::node_restart:
+            text += " " + std::to_string(t.node);
+            terminate_node(t.node);
+            break;
+        case TroubleKind::reload:
+        case TroubleKind::reload_bad: {
+            Node& n = nodes_[index(t.node)];
+            text += " " + std::to_string(t.node);
+            const std::string good = station_json(scenario_, t.node, n.listen, discovery_->agent(t.node),
+                                                  discovery_->whole_list(), 77);
+            n.daemon->configure(t.kind == TroubleKind::reload ? good : good.substr(0, good.size() / 2));
+            n.daemon->signal(SIGHUP);
+            if (t.kind == TroubleKind::reload_bad) {
+                world_.at(world_.now() + kReloadBadFor, [&n, good] { n.daemon->configure(good); });
+            }
+            break;
+        }
+        case TroubleKind::tricklers: crowd_->trickle(t.node, t.count, until); break;
+        case TroubleKind::non_readers: crowd_->never_read(t.node, t.count, until); break;
+        case TroubleKind::hot_key:
+        case TroubleKind::scan:
+        case TroubleKind::over_share:
+        case TroubleKind::count: break;  // drawn into the schedule
+    }
+    mark(text);
+    if (t.lasts > 0) {
+        world_.at(until, [this, text] { if (!ended_) mark("end of " + text); });
+    }
+}
+
+// ---- watching -------------------------------------------------------------------------------------------
+
+// The loop's own lateness: whatever a stand-in or a client saw in such a time is dated late.
+void Day::look_at_self(double expected) {
+    const double now = world_.now();
+    auditor_.late(now, now - expected);
+    if (ended_) return;
+    world_.at(now + kLookAtSelf, [this, next = now + kLookAtSelf] { look_at_self(next); });
+}
+
+// A daemon that waits for a core is late by no fault of its own. It also learns here of one that has ended.
+void Day::look_at_daemons() {
+    if (ended_) return;
+    const double now = world_.now();
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        Node& n = nodes_[i];
+        if (n.daemon->pid() == 0) continue;
+        if (!n.daemon->running() && !n.daemon->expected_to_end) {
+            ++result_.crashes;
+            mark("node " + std::to_string(i) + " CRASHED, exit code " + std::to_string(n.daemon->exit_code()));
+            n.ready = false;
+            n.daemon->expected_to_end = true;
+            n.cpu_gone += n.cpu_before;
+            world_.at(now + kNodeAwayUnsaid, [this, i] { if (!ended_) start_node(static_cast<int>(i)); });
+            continue;
+        }
+        const ProcessFigures f = n.daemon->figures();
+        if (f.waited > n.waited_before) auditor_.late(now, f.waited - n.waited_before);
+        n.waited_before = std::max(n.waited_before, f.waited);
+        n.cpu_before = std::max(n.cpu_before, f.cpu);
+        result_.daemon_rss_mb = std::max(result_.daemon_rss_mb, f.rss_most_mb);
+    }
+    world_.at(now + kLookAtDaemons, [this] { look_at_daemons(); });
+}
+
+void Day::each_second() {
+    Series& s = result_.series;
+    const double now = world_.now();
+    s.forwards.resize(caches_.size() + 1);
+    for (std::size_t i = 0; i <= caches_.size(); ++i) {
+        const std::uint64_t all = i < caches_.size() ? caches_[i]->counts().forwards
+                                                     : origin_->counts().reads + origin_->counts().writes;
+        s.forwards[i].push_back(static_cast<double>(all - forwards_before_[i]));
+        forwards_before_[i] = all;
+    }
+    s.origin_asked.push_back(origin_->asked());
+    s.origin_capacity.push_back(origin_->halted() ? 0 : origin_->capacity());
+    double cpu = 0, rss = 0;
+    for (const Node& n : nodes_) {
+        cpu += n.cpu_before + n.cpu_gone;
+        rss = std::max(rss, n.daemon->figures().rss_mb);
+    }
+    const double before = result_.daemon_cpu;
+    s.cpu.push_back(std::max(0.0, cpu - before));
+    s.rss_mb.push_back(rss);
+    result_.daemon_cpu = cpu;
+    if (plan_.progress) {
+        char line[160];
+        std::snprintf(line, sizeof line, "%4.0f s of %.0f  asked %llu  succeeded %llu  open %d  origin %.0f%%",
+                      of_day(now), scenario_.length, static_cast<unsigned long long>(crowd_->asked()),
+                      static_cast<unsigned long long>(crowd_->succeeded()), crowd_->open(),
+                      100 * origin_->asked() / std::max(1e-9, origin_->capacity()));
+        plan_.progress(of_day(now), line);
+    }
+    if (!ended_) world_.at(now + 1, [this] { each_second(); });
+}
+
+// The day is over once whoever asked has been answered, or has waited as long as anyone waits.
+void Day::look_whether_over() {
+    double longest = 0;
+    for (const OperationPlan& o : scenario_.operations) longest = std::max(longest, o.promised.client_timeout);
+    const bool long_enough = of_day(world_.now()) > scenario_.length + 2 * longest + 1;
+    if (crowd_->all_over() || long_enough) {
+        ended_ = true;
+        io_.stop();
+        return;
+    }
+    world_.at(world_.now() + 0.02, [this] { look_whether_over(); });
+}
+
+DayResult Day::play() {
+    schedule_ = draw_schedule(scenario_, plan_.seed);
+    result_.digest = digest(schedule_, scenario_.troubles);
+    result_.planned = schedule_.size();
+    result_.series.servers = scenario_.server_names();
+    crowd_ = std::make_unique<Crowd>(world_, schedule_, plan_.seed);
+    for (int n = 0; n < scenario_.nodes; ++n) {
+        Node& node = nodes_[index(n)];
+        const unsigned short port = free_port(io_, world_.host);
+        node.listen = world_.host + ":" + std::to_string(port);
+        node.daemon = std::make_unique<Daemon>(
+            Daemon::Place{plan_.program, plan_.folder, "n" + std::to_string(n), node.listen, -1});
+        crowd_->node_at(n, {boost::asio::ip::make_address(world_.host), port});
+        start_node(n);
+    }
+    // The loop wakes at least this often to hear of an interruption.
+    std::function<void()> listen_for_end = [&] {
+        if (interrupted()) {
+            result_.was_interrupted = true;
+            ended_ = true;
+            io_.stop();
+            return;
+        }
+        if (!ended_) world_.at(world_.now() + 0.05, listen_for_end);
+    };
+    listen_for_end();
+    io_.run();
+    ended_ = true;
+    crowd_->stop();
+    const double now = world_.now();
+    result_.length = has_begun_ ? std::max(0.0, of_day(now)) : 0;
+    for (Node& n : nodes_) {
+        n.daemon->expected_to_end = true;
+        n.daemon->kill();
+    }
+    if (result_.failed.empty()) result_.verdict = auditor_.finish(now);
+    result_.latencies = crowd_->latencies();
+    for (const auto& c : caches_) {
+        result_.hits += c->counts().hits;
+        result_.misses += c->counts().misses;
+        result_.server_busy += c->counts().busy;
+        result_.connections += c->counts().connections;
+    }
+    result_.origin_reads = origin_->counts().reads;
+    result_.origin_writes = origin_->counts().writes;
+    result_.origin_busy = origin_->counts().busy;
+    result_.origin_halts = origin_->counts().halts;
+    return std::move(result_);
+}
+
+}  // namespace
+
+DayResult play_day(const DayPlan& plan) {
+    Day day(plan);
+    return day.play();
+}
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/src/kit/rehearsal.h
@@ -0,0 +1,54 @@
+// One day played on loopback sockets: starts the stand-ins and the daemons, lets the clients come, brings about
+// the troubles at their times, watches its own lateness, and hands what was seen to the judge. It owns all of
+// it and leaves nothing behind: no process, no port, whether the day ended, was interrupted or broke off.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "auditor.h"
+#include "daemon.h"
+#include "histogram.h"
+#include "scenario.h"
+
+namespace brookrelay::kit {
+
+struct DayPlan {
+    Scenario scenario;
+    std::uint64_t seed = 1;
+    std::string program;   // the daemon under rehearsal
+    std::string folder;    // for its configuration and logs; must exist
+    std::function<void(double now, const std::string& line)> progress;  // about once a second; may be empty
+    std::function<bool()> interrupted;                                  // may be empty
+};
+
+// What was seen, second by second, for pictures.
+struct Series {
+    std::vector<std::string> servers;
+    std::vector<std::vector<double>> forwards;    // [server][second]
+    std::vector<double> origin_asked, origin_capacity;  // work a second
+    std::vector<double> cpu;                      // of all daemons, seconds a second
+    std::vector<double> rss_mb;                   // of the largest
+};
+
+struct DayResult {
+    audit::Verdict verdict;
+    bool was_interrupted = false;
+    std::string failed;             // the day could not be played: why
+    double length = 0;              // of what was played
+    std::uint64_t digest = 0;       // of schedule and troubles
+    std::size_t planned = 0;
+    Series series;
+    std::vector<std::pair<double, std::string>> marks;  // troubles as they were brought about
+    std::vector<LatencyHistogram> latencies;            // an operation
+    std::uint64_t hits = 0, misses = 0, server_busy = 0, origin_reads = 0, origin_writes = 0, origin_busy = 0,
+                  origin_halts = 0, connections = 0;
+    double daemon_cpu = 0, daemon_rss_mb = 0;
+    int crashes = 0;                // daemons that ended by themselves
+};
+
+DayResult play_day(const DayPlan& plan);
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/src/kit/schedule.cpp
@@ -0,0 +1,173 @@
+#include "schedule.h"
+
+#include <algorithm>
+#include <boost/random/discrete_distribution.hpp>
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_01.hpp>
+#include <cmath>
+#include <cstring>
+#include <functional>
+
+namespace brookrelay::kit {
+namespace {
+
+// Boost's, not the standard library's: its distributions draw the same numbers on every machine.
+using Engine = boost::random::mt19937_64;
+
+constexpr std::uint64_t kScanRank = 1ULL << 40;  // keys nobody else asks for
+constexpr std::uint64_t kHotRank = 1ULL << 41;
+
+std::uint64_t mixed(std::uint64_t x) {  // splitmix64's last step: different ranks give different keys
+    x += 0x9e3779b97f4a7c15ULL;
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+class Zipf {
+  public:
+    Zipf(std::uint64_t count, double skew) : sums_(count) {
+        double sum = 0;
+        for (std::uint64_t i = 0; i < count; ++i) {
+            sum += std::pow(static_cast<double>(i + 1), -skew);
+            sums_[i] = sum;
+        }
+    }
+    std::uint64_t rank(double draw) const {
+        const auto at = std::lower_bound(sums_.begin(), sums_.end(), draw * sums_.back());
+        return static_cast<std::uint64_t>(at - sums_.begin());
+    }
+
+  private:
+    std::vector<double> sums_;
+};
+
+// Arrivals of one stream: a rate at each time, and how the rest of an arrival is drawn.
+struct Stream {
+    double from = 0, until = 0, peak = 0;
+    std::function<double(double)> rate;
+    std::function<void(Planned&, Engine&)> fill;
+};
+
+void draw_stream(const Stream& stream, Engine& engine, std::vector<Planned>& out) {
+    if (stream.peak <= 0) return;
+    boost::random::uniform_01<double> unit;
+    boost::random::exponential_distribution<double> gap(stream.peak);
+    // Thinning: arrivals at the highest rate, of which each stays by the rate at its time.
+    for (double t = stream.from + gap(engine); t < stream.until; t += gap(engine)) {
+        const bool stays = unit(engine) * stream.peak < stream.rate(t);
+        Planned p;
+        p.at = t;
+        stream.fill(p, engine);
+        if (stays) out.push_back(p);
+    }
+}
+
+}  // namespace
+
+std::uint64_t key_of_rank(std::uint64_t rank) { return mixed(rank); }
+
+std::vector<Planned> draw_schedule(const Scenario& s, std::uint64_t seed) {
+    const Zipf zipf(s.keys.count, s.keys.skew);
+    std::vector<double> operation_shares, tenant_shares, read_shares;
+    for (const OperationPlan& o : s.operations) {
+        operation_shares.push_back(o.share);
+        read_shares.push_back(o.write ? 0 : o.share);
+    }
+    for (const TenantPlan& t : s.tenants) tenant_shares.push_back(t.share);
+    boost::random::discrete_distribution<int> operation(operation_shares);
+    boost::random::discrete_distribution<int> read(read_shares);
+    boost::random::uniform_01<double> unit;
+
+    const auto common = [&](Planned& p, Engine& e) {
+        p.operation = operation(e);
+        if (!tenant_shares.empty()) p.tenant = boost::random::discrete_distribution<int>(tenant_shares)(e);
+        const auto moved = static_cast<std::uint64_t>(s.keys.drift * p.at);
+        p.key = key_of_rank((zipf.rank(unit(e)) + moved) % s.keys.count);
+        p.patience = static_cast<float>(s.clients.patience_least +
+                                        (s.clients.patience_most - s.clients.patience_least) * unit(e));
+        p.leaves = unit(e) < s.clients.leave ? static_cast<float>(unit(e)) : -1.0F;
+        p.node_draw = static_cast<float>(unit(e));
+        p.chance = static_cast<std::uint32_t>(e());
+        // Key of a hot spell, if one is on: drawn here, so that the spell moves arrivals and adds none.
+        const double draw = unit(e);
+        for (std::size_t i = 0; i < s.troubles.size(); ++i) {
+            const Trouble& t = s.troubles[i];
+            if (t.kind == TroubleKind::hot_key && p.at >= t.at && p.at < t.at + t.lasts && draw < t.part) {
+                p.key = key_of_rank(kHotRank + i);
+            }
+        }
+    };
+    const double highest = [&] {
+        double most = s.clients.curve.empty() ? 1 : 0;
+        for (const auto& [time, value] : s.clients.curve) most = std::max(most, value);
+        return most;
+    }();
+    const auto rate = [&](double t) { return s.clients.rate * at(s.clients.curve, t, 1); };
+
+    std::vector<Planned> all;
+    // Each stream has a generator of its own, so that a trouble that adds arrivals changes no others.
+    Engine base(seed * 1000003);
+    draw_stream({0, s.length, s.clients.rate * highest, rate, common}, base, all);
+    for (std::size_t i = 0; i < s.troubles.size(); ++i) {
+        const Trouble& t = s.troubles[i];
+        Engine own(seed * 1000003 + 17 * (i + 1));
+        const double until = std::min(s.length, t.at + t.lasts);
+        if (t.kind == TroubleKind::scan) {
+            std::uint64_t next = kScanRank + (static_cast<std::uint64_t>(i) << 30);
+            draw_stream({t.at, until, s.clients.rate * t.part, [&](double) { return s.clients.rate * t.part; },
+                         [&](Planned& p, Engine& e) {
+                             common(p, e);
+                             if (!read.probabilities().empty()) p.operation = read(e);
+                             p.key = key_of_rank(next++);
+                         }},
+                        own, all);
+        }
+        if (t.kind == TroubleKind::over_share && t.factor > 1) {
+            for (const std::string& name : t.who) {
+                double share = 0, sum = 0;
+                int tenant = 0;
+                for (std::size_t n = 0; n < s.tenants.size(); ++n) {
+                    sum += s.tenants[n].share;
+                    if (s.tenants[n].name != name) continue;
+                    share = s.tenants[n].share;
+                    tenant = static_cast<int>(n);
+                }
+                const double more = s.clients.rate * (t.factor - 1) * (sum > 0 ? share / sum : 0);
+                draw_stream({t.at, until, more, [&](double) { return more; },
+                             [&](Planned& p, Engine& e) {
+                                 common(p, e);
+                                 p.tenant = tenant;
+                             }},
+                            own, all);
+            }
+        }
+    }
+    std::stable_sort(all.begin(), all.end(), [](const Planned& a, const Planned& b) { return a.at < b.at; });
+    return all;
+}
+
+std::uint64_t digest(const std::vector<Planned>& schedule, const std::vector<Trouble>& troubles) {
+    std::uint64_t h = 0;
+    const auto add = [&h](std::uint64_t x) { h = mixed(h ^ x); };
+    const auto bits = [](double d) {
+        std::uint64_t x = 0;
+        std::memcpy(&x, &d, sizeof x);
+        return x;
+    };
+    for (const Planned& p : schedule) {
+        add(bits(p.at));
+        add(p.key);
+        add(static_cast<std::uint64_t>(p.operation) << 32 | static_cast<std::uint32_t>(p.tenant));
+        add(bits(static_cast<double>(p.patience)) ^ bits(static_cast<double>(p.leaves)));
+    }
+    for (const Trouble& t : troubles) {
+        add(static_cast<std::uint64_t>(t.kind));
+        add(bits(t.at));
+        add(bits(t.lasts));
+    }
+    return h;
+}
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/src/kit/schedule.h
@@ -0,0 +1,30 @@
+// Who asks for what and when, on one day: drawn ahead from the scenario and a seed, without I/O, so that the
+// same seed gives the same day whatever the fleet does. Further tries are not in it: they hang on the answers.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "scenario.h"
+
+namespace brookrelay::kit {
+
+struct Planned {
+    double at = 0;
+    int operation = 0;
+    int tenant = -1;
+    std::uint64_t key = 0;     // as servers and nodes see it
+    float patience = 1;        // part of the client timeout after which a try is given up
+    float leaves = -1;         // part of that after which the client goes; -1: it stays
+    float node_draw = 0;       // 0 to 1: which node the front deals it to
+    std::uint32_t chance = 0;  // for what is drawn later on its behalf
+};
+
+std::vector<Planned> draw_schedule(const Scenario& scenario, std::uint64_t seed);
+// The key that has this rank of popularity at the day's start.
+std::uint64_t key_of_rank(std::uint64_t rank);
+// One number for a schedule and the troubles: the same day has the same.
+std::uint64_t digest(const std::vector<Planned>& schedule, const std::vector<Trouble>& troubles);
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/src/kit/world.h
@@ -0,0 +1,55 @@
+// What the stand-ins of one day share: the loop, the clock, the judge, the scenario, and who stands for what
+// number. It owns the versions of the origin's values and the numbering of forwards, and nothing else.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "auditor.h"
+#include "conn.h"
+#include "scenario.h"
+
+namespace brookrelay::kit {
+
+struct World {
+    Io& io;
+    const Clock& clock;
+    const Scenario& scenario;
+    audit::Auditor& auditor;
+    std::string host;          // the loopback address of all stand-ins
+    std::uint32_t day = 0;     // marks this day's ids
+    int forwards = 0;
+    std::unordered_map<std::uint64_t, std::uint32_t> versions;  // at the origin; absent: 0
+    // Where a forward of an invocation missed, until the origin's answer is stored there.
+    std::unordered_map<int, std::vector<int>> missed;
+    std::function<void(int server, std::uint64_t key, std::uint32_t version)> fill;
+    std::function<void(std::uint64_t key)> drop_copies;
+
+    double now() const { return clock.now(); }
+    int origin() const { return static_cast<int>(scenario.server_names().size()) - 1; }
+    std::uint32_t version(std::uint64_t key) const {
+        const auto found = versions.find(key);
+        return found == versions.end() ? 0 : found->second;
+    }
+    // Index of an operation by the name that a command gives it, -1 if there is none.
+    int operation(std::string_view name) const {
+        for (std::size_t i = 0; i < scenario.operations.size(); ++i) {
+            if (scenario.operations[i].name == name) return static_cast<int>(i);
+        }
+        return -1;
+    }
+    // Does something at a time of the day; a life holds what it works on.
+    void at(double time, std::function<void()> action) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(io, clock.at(time));
+        timer->async_wait([timer, act = std::move(action)](const Code& bad) {
+            if (!bad) act();
+        });
+    }
+};
+
+}  // namespace brookrelay::kit
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 
 #include "cli/check.h"
 #include "cli/exit_codes.h"
+#include "cli/rehearse.h"
 #include "net/serve.h"
 #include "toml.h"
 
@@ -50,6 +51,16 @@
     CLI::App* check = app.add_subcommand("check", "say what a file is, and all that is wrong with it");
     check->add_option("FILE", to_check, "a station's, operators' or scenario file")->required();
 
+    brookrelay::RehearseWish wish;
+    CLI::App* rehearse = app.add_subcommand("rehearse", "play a scenario's day against stand-ins and judge it by the rules");
+    rehearse->add_option("SCENARIO", wish.scenario, "a file, or the name of one below scenarios/")
+        ->capture_default_str();
+    rehearse->add_option("--daemon", wish.daemons, "the program to rehearse; this one if it is left out");
+    rehearse->add_option("--seeds", wish.seeds, "the day's seed");
+    rehearse->add_option("--set", wish.sets, "PATH=VALUE, put over the scenario's file")->allow_extra_args(false);
+    rehearse->add_option("--out", wish.out, "the folder for logs and reports; a new one below rehearsals/ if left out");
+    rehearse->add_flag("--quiet", wish.quiet, "no progress");
+
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& said) {
@@ -58,6 +69,7 @@
     }
     try {
         if (check->parsed()) return brookrelay::check_file(to_check);
+        if (rehearse->parsed()) return brookrelay::rehearse(wish);
         return serve_with(config, operator_path, log_format);
     } catch (const brookrelay::BadFile& bad) {
         std::fprintf(stderr, "%s\n", bad.what());
--- /dev/null
+++ b/tests/audit_test.cpp
@@ -0,0 +1,517 @@
+// The judge against days written by hand: each rule broken in each way it can be, and beside it the near miss
+// that is none. No socket and no clock.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+
+#include "auditor.h"
+
+namespace {
+
+using namespace brookrelay;
+using namespace brookrelay::audit;
+
+enum Op { kRead, kDedup, kOnce };
+constexpr int kBoxA = 0, kBoxB = 1, kBoxC = 2, kOrigin = 3;  // A and B share a zone, C is in another
+
+Terms terms() {
+    Terms t;
+    Operation read, dedup, once;
+    read.client_timeout = dedup.client_timeout = once.client_timeout = 1;
+    read.latency_objective = dedup.latency_objective = once.latency_objective = 0.5;
+    dedup.repeat = Repeat::deduplicated;
+    dedup.scope = Scope::zone;
+    dedup.dedup_window = 2;
+    once.repeat = Repeat::non_idempotent;
+    t.operations = {read, dedup, once};
+    t.operation_names = {"read", "dedup", "once"};
+    t.tenants = {{0}, {2}};
+    t.tenant_names = {"free", "small"};
+    t.server_names = {"A", "B", "C", "origin"};
+    t.server_zones = {0, 0, 1, 0};
+    t.server_cells = {0, 1, 2, 0};
+    t.origin = kOrigin;
+    t.nodes = 2;
+    t.answer_grace = 0.02;
+    t.drain_grace = 0.3;
+    t.fall_time = 2;
+    t.beyond_share_part = 0.1;
+    t.day = 20;
+    return t;
+}
+
+// A day under the judge, with the usual steps in a line each.
+struct Day {
+    Auditor judge{terms()};
+    int forwards = 0;
+    int asked = 0;
+
+    // Whoever still waits has left by then, so that a case is judged by what it is about.
+    Verdict end() {
+        for (int i = 0; i < asked; ++i) judge.client_left(1.9, i);
+        return judge.finish(10);
+    }
+    void ask(double at, int inv, Op op, int node = 0, int user = -1, int attempt = 0) {
+        Ask a;
+        a.operation = op;
+        a.node = node;
+        a.user = user < 0 ? inv : user;
+        a.attempt = attempt;
+        a.time_left = 1;
+        judge.asked(at, inv, a);
+        asked = std::max(asked, inv + 1);
+    }
+    int send(double at, int inv, int server, double work = 0.01) {
+        judge.forwarded(at, at, forwards, inv, server, work);
+        return forwards++;
+    }
+    void done(double at, int forward) { judge.ended(at, forward, Outcome::done); }
+    void ran(double at, int forward) {
+        judge.ran(at, forward);
+        done(at, forward);
+    }
+    void busy(double at, int forward) { judge.ended(at, forward, Outcome::busy); }
+    // One read that goes well.
+    void fine(double at, int inv, int server = kBoxA, int node = 0) {
+        ask(at, inv, kRead, node);
+        const int f = send(at + 0.001, inv, server);
+        done(at + 0.002, f);
+        judge.replied(at + 0.003, inv, Reply::succeeded, f);
+    }
+};
+
+struct Case {
+    const char* name;
+    int rule;            // broken; 0: none
+    const char* said;    // part of what is said
+    std::function<void(Day&)> play;
+};
+
+void push(Day& d, int server, int node, int first, int count, double from = 1) {
+    for (int i = 0; i < count; ++i) {
+        d.ask(from + 0.01 * i, first + i, kRead, node);
+        d.send(from + 0.01 * i, first + i, server);
+        d.judge.client_left(from + 0.01 * i + 0.005, first + i);
+    }
+}
+
+const Case kCases[] = {
+    {"a day that goes well", 0, "", [](Day& d) { d.fine(1, 0); }},
+    // ---- rule 1
+    {"no answer", 1, "no final answer",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         d.judge.gave_up(2.2, 0);
+     }},
+    {"no answer yet, the time is not over", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         d.judge.gave_up(2.05, 0);
+     }},
+    {"an answer after the time", 1, "after the client timeout",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         d.judge.replied(2.08, 0, Reply::throttled, -1);
+     }},
+    {"an answer within the grace", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         d.judge.replied(2.06, 0, Reply::throttled, -1);
+     }},
+    {"two answers", 1, "second final answer",
+     [](Day& d) {
+         d.fine(1, 0);
+         d.judge.replied(1.5, 0, Reply::errored, -1);
+     }},
+    {"an answer to a client that has left", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         d.judge.client_left(1.1, 0);
+         d.judge.replied(1.2, 0, Reply::errored, -1);
+     }},
+    {"the connection ends without an answer", 1, "ended the connection",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         d.judge.connection_ended(1.2, 0);
+     }},
+    {"it ends because the node was killed", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         d.judge.node_killed(1.1, 0);
+         d.judge.connection_ended(1.2, 0);
+     }},
+    {"it ends at one node while another was killed", 1, "ended the connection",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         d.judge.node_killed(1.1, 1);
+         d.judge.connection_ended(1.2, 0);
+     }},
+    {"the node was killed before it was asked", 1, "ended the connection",
+     [](Day& d) {
+         d.judge.node_killed(0.5, 0);
+         d.ask(1, 0, kRead);
+         d.judge.connection_ended(1.2, 0);
+     }},
+    {"the node could not be reached", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         d.judge.unreachable(1.1, 0);
+     }},
+    {"a forward after the answer", 1, "after the final answer",
+     [](Day& d) {
+         d.fine(1, 0);
+         d.send(1.1, 0, kBoxB);
+     }},
+    {"a forward that crossed the answer", 0, "",
+     [](Day& d) {
+         d.fine(1, 0);
+         d.send(1.04, 0, kBoxB);
+     }},
+    {"a success that no server made", 1, "no server made",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         d.judge.replied(1.1, 0, Reply::succeeded, -1);
+     }},
+    {"a success that was made for another", 1, "no server made",
+     [](Day& d) {
+         d.fine(1, 0);
+         d.ask(2, 1, kRead);
+         d.judge.replied(2.1, 1, Reply::succeeded, 0);
+     }},
+    {"a success by a forward that had no answer", 1, "no server made",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         const int f = d.send(1.01, 0, kBoxA);
+         d.judge.replied(1.1, 0, Reply::succeeded, f);
+     }},
+    {"a success by a repeat that was dropped", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kDedup);
+         const int f = d.send(1.01, 0, kOrigin);
+         d.judge.dropped_repeat(1.02, f);
+         d.done(1.02, f);
+         d.judge.replied(1.1, 0, Reply::succeeded, f);
+     }},
+    {"a forward that names nobody", 1, "names no invocation",
+     [](Day& d) { d.send(1, -1, kBoxA); }},
+    // ---- rule 2, non-idempotent
+    {"non-idempotent, sent again after silence", 2, "non-idempotent",
+     [](Day& d) {
+         d.ask(1, 0, kOnce);
+         d.send(1.01, 0, kOrigin);
+         d.send(1.3, 0, kOrigin);
+     }},
+    {"non-idempotent, sent again after an error", 2, "non-idempotent",
+     [](Day& d) {
+         d.ask(1, 0, kOnce);
+         d.judge.ended(1.02, d.send(1.01, 0, kOrigin), Outcome::errored);
+         d.send(1.3, 0, kOrigin);
+     }},
+    {"non-idempotent, sent again after busy", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kOnce);
+         d.busy(1.02, d.send(1.01, 0, kOrigin));
+         d.ran(1.4, d.send(1.3, 0, kOrigin));
+     }},
+    {"non-idempotent, sent again just before busy came", 2, "non-idempotent",
+     [](Day& d) {
+         d.ask(1, 0, kOnce);
+         const int f = d.send(1.01, 0, kOrigin);
+         d.send(1.3, 0, kOrigin);
+         d.busy(1.31, f);
+     }},
+    {"non-idempotent, throttled with a forward out", 2, "throttled",
+     [](Day& d) {
+         d.ask(1, 0, kOnce);
+         d.send(1.01, 0, kOrigin);
+         d.judge.replied(1.5, 0, Reply::throttled, -1);
+     }},
+    {"non-idempotent, errored with a forward out", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kOnce);
+         d.send(1.01, 0, kOrigin);
+         d.judge.replied(1.5, 0, Reply::errored, -1);
+     }},
+    {"non-idempotent, throttled before any forward", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kOnce);
+         d.judge.replied(1.5, 0, Reply::throttled, -1);
+     }},
+    {"non-idempotent, throttled after busy", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kOnce);
+         d.busy(1.02, d.send(1.01, 0, kOrigin));
+         d.judge.replied(1.5, 0, Reply::throttled, -1);
+     }},
+    {"an effect that happens twice over two tries", 2, "happened twice",
+     [](Day& d) {
+         d.ask(1, 0, kOnce, 0, 0, 0);
+         const int first = d.send(1.01, 0, kOrigin);
+         d.busy(1.02, first);  // said never to have run, and then it did
+         d.ran(1.03, first);
+         d.judge.replied(1.04, 0, Reply::throttled, -1);
+         d.ask(1.2, 1, kOnce, 1, 0, 1);
+         d.ran(1.25, d.send(1.21, 1, kOrigin));
+     }},
+    {"two users each want it once", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kOnce);
+         d.ran(1.02, d.send(1.01, 0, kOrigin));
+         d.ask(1, 1, kOnce);
+         d.ran(1.04, d.send(1.03, 1, kOrigin));
+     }},
+    {"an idempotent effect twice", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kRead);
+         d.ran(1.02, d.send(1.01, 0, kBoxA));
+         d.ran(1.04, d.send(1.03, 0, kBoxB));
+     }},
+    // ---- rule 2, deduplicated
+    {"deduplicated, sent again in its group and time", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kDedup);
+         d.send(1.01, 0, kBoxA);
+         d.send(1.3, 0, kBoxB);
+     }},
+    {"deduplicated, sent outside its group", 2, "outside the group",
+     [](Day& d) {
+         d.ask(1, 0, kDedup);
+         d.send(1.01, 0, kBoxA);
+         d.send(1.3, 0, kBoxC);
+     }},
+    {"deduplicated, outside its group, but the first never ran", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kDedup);
+         d.busy(1.02, d.send(1.01, 0, kBoxA));
+         d.send(1.3, 0, kBoxC);
+     }},
+    {"deduplicated, at a cache and then at the origin", 2, "outside the group",
+     [](Day& d) {
+         d.ask(1, 0, kDedup);
+         d.send(1.01, 0, kBoxA);
+         d.send(1.3, 0, kOrigin);
+     }},
+    {"deduplicated, when its mark is forgotten", 2, "forgotten",
+     [](Day& d) {
+         d.ask(1, 0, kDedup);
+         d.send(1.01, 0, kOrigin);
+         d.send(3.07, 0, kOrigin);
+     }},
+    {"deduplicated, just before its mark is forgotten", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kDedup);
+         d.send(1.01, 0, kOrigin);
+         d.send(3.05, 0, kOrigin);
+     }},
+    {"deduplicated, throttled with a forward out", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kDedup);
+         d.send(1.01, 0, kOrigin);
+         d.judge.replied(1.5, 0, Reply::throttled, -1);
+     }},
+    {"deduplicated, and yet the effect twice", 2, "happened twice",
+     [](Day& d) {
+         d.ask(1, 0, kDedup);
+         d.ran(1.02, d.send(1.01, 0, kBoxA));
+         d.ran(1.4, d.send(1.3, 0, kBoxB));
+     }},
+    {"twice, as the server forgot its marks with a restart", 0, "",
+     [](Day& d) {
+         d.ask(1, 0, kDedup);
+         d.ran(1.02, d.send(1.01, 0, kBoxA));
+         d.judge.started(1.2, kBoxB, false);
+         d.ran(1.4, d.send(1.3, 0, kBoxB));
+     }},
+    // ---- rule 3
+    {"a forward to a draining server after the grace", 3, "drains",
+     [](Day& d) {
+         d.judge.told(1, 0, kBoxA, Standing::draining, false);
+         d.fine(1.36, 0);
+     }},
+    {"a forward to a draining server within the grace", 0, "",
+     [](Day& d) {
+         d.judge.told(1, 0, kBoxA, Standing::draining, false);
+         d.fine(1.34, 0);
+     }},
+    {"another node was told", 0, "",
+     [](Day& d) {
+         d.judge.told(1, 1, kBoxA, Standing::draining, false);
+         d.fine(1.5, 0);
+     }},
+    {"told again, the grace runs from the first word", 3, "is gone",
+     [](Day& d) {
+         d.judge.told(1, 0, kBoxA, Standing::draining, false);
+         d.judge.told(1.3, 0, kBoxA, Standing::gone, false);
+         d.fine(1.4, 0);
+     }},
+    {"it serves again", 0, "",
+     [](Day& d) {
+         d.judge.told(1, 0, kBoxA, Standing::draining, false);
+         d.judge.told(1.3, 0, kBoxA, Standing::ready, false);
+         d.fine(2, 0);
+     }},
+    {"the node has restarted and knows nothing of it", 0, "",
+     [](Day& d) {
+         d.judge.told(1, 0, kBoxA, Standing::gone, false);
+         d.judge.node_up(1.3, 0);
+         d.fine(2, 0);
+     }},
+    // ---- rule 4
+    {"a cold server pushed over by who knew", 4, "pushed over",
+     [](Day& d) {
+         d.judge.started(0.5, kBoxA, true);
+         d.judge.told(0.8, 0, kBoxA, Standing::ready, true);
+         push(d, kBoxA, 0, 0, 100);
+         d.judge.pushed_over(2, kBoxA);
+     }},
+    {"pushed over by who did not know of its start", 0, "",
+     [](Day& d) {
+         d.judge.started(0.5, kBoxA, true);
+         push(d, kBoxA, 0, 0, 100);
+         d.judge.pushed_over(2, kBoxA);
+     }},
+    {"by two, of whom the lesser part knew", 0, "",
+     [](Day& d) {
+         d.judge.started(0.5, kBoxA, true);
+         d.judge.told(0.8, 0, kBoxA, Standing::ready, true);
+         push(d, kBoxA, 0, 0, 60);
+         push(d, kBoxA, 1, 60, 40);
+         d.judge.pushed_over(2, kBoxA);
+     }},
+    {"it had become warm", 0, "",
+     [](Day& d) {
+         d.judge.started(0.5, kBoxA, true);
+         d.judge.told(0.8, 0, kBoxA, Standing::ready, true);
+         d.judge.warm(0.9, kBoxA);
+         push(d, kBoxA, 0, 0, 100);
+         d.judge.pushed_over(2, kBoxA);
+     }},
+    {"it started anew, and nobody has been told of that", 0, "",
+     [](Day& d) {
+         d.judge.started(0.3, kBoxA, true);
+         d.judge.told(0.4, 0, kBoxA, Standing::ready, true);
+         d.judge.started(0.5, kBoxA, true);
+         push(d, kBoxA, 0, 0, 100);
+         d.judge.pushed_over(2, kBoxA);
+     }},
+    {"the origin stopped by cold misses", 4, "origin was stopped",
+     [](Day& d) {
+         d.judge.started(0.5, kBoxA, true);
+         for (int i = 0; i < 100; ++i) {
+             const double at = 1 + 0.01 * i;
+             d.ask(at, i, kRead);
+             if (i % 2 == 0) d.judge.ended(at + 0.001, d.send(at, i, kBoxA), Outcome::miss);
+             d.send(at + 0.002, i, kOrigin);
+             d.judge.client_left(at + 0.005, i);
+         }
+         d.judge.pushed_over(2, kOrigin);
+     }},
+    {"the origin stopped by misses at warm caches", 0, "",
+     [](Day& d) {
+         for (int i = 0; i < 100; ++i) {
+             const double at = 1 + 0.01 * i;
+             d.ask(at, i, kRead);
+             d.judge.ended(at + 0.001, d.send(at, i, kBoxA), Outcome::miss);
+             d.send(at + 0.002, i, kOrigin);
+             d.judge.client_left(at + 0.005, i);
+         }
+         d.judge.pushed_over(2, kOrigin);
+     }},
+};
+
+TEST(Auditor, JudgesEachWay) {
+    for (const Case& c : kCases) {
+        SCOPED_TRACE(c.name);
+        Day day;
+        c.play(day);
+        const Verdict v = day.end();
+        EXPECT_FALSE(v.void_run);
+        int broken = 0;
+        for (const int n : v.broken) broken += n;
+        if (c.rule == 0) {
+            EXPECT_EQ(broken, 0) << (v.findings.empty() ? "" : v.findings.front().what);
+            continue;
+        }
+        EXPECT_EQ(broken, 1);
+        EXPECT_EQ(v.broken[static_cast<std::size_t>(c.rule)], 1);
+        ASSERT_EQ(v.findings.size(), 1U);
+        EXPECT_NE(v.findings.front().what.find(c.said), std::string::npos) << v.findings.front().what;
+        // What names an invocation must show its way.
+        EXPECT_EQ(v.findings.front().trace.empty(), v.findings.front().inv < 0);
+    }
+}
+
+// What is seen while the watcher stands still is dated late: it may be no breach at all.
+TEST(Auditor, ItsOwnLatenessMakesADayVoidAndNotBroken) {
+    const struct {
+        const char* name;
+        double late_until, late_by;
+        bool is_void;
+    } cases[] = {{"just then", 2.1, 0.06, true},
+                 {"a little before the end of the time", 2.05, 0.03, true},
+                 {"long before", 1.5, 0.06, false},
+                 {"long after", 9, 0.06, false},
+                 {"by next to nothing", 2.1, 0.01, false}};
+    for (const auto& c : cases) {
+        SCOPED_TRACE(c.name);
+        Day day;
+        day.ask(1, 0, kRead);
+        day.judge.late(c.late_until, c.late_by);
+        day.judge.replied(2.1, 0, Reply::errored, -1);
+        const Verdict v = day.judge.finish(10);
+        EXPECT_EQ(v.void_run, c.is_void);
+        EXPECT_EQ(v.findings.size(), c.is_void ? 0U : 1U);
+        EXPECT_EQ(v.set_aside.size(), c.is_void ? 1U : 0U);
+    }
+    // What no clock decides stays broken.
+    Day twice;
+    twice.fine(1, 0);
+    twice.judge.late(1.6, 0.3);
+    twice.judge.replied(1.6, 0, Reply::errored, -1);
+    EXPECT_EQ(twice.judge.finish(100).findings.size(), 1U);
+    // And a day on which it was late for long cannot be relied upon at all.
+    Day slow;
+    slow.fine(1, 0);
+    slow.judge.late(5, 1);
+    EXPECT_TRUE(slow.judge.finish(10).void_run);
+}
+
+TEST(Auditor, AccountsBilledService) {
+    Day day;
+    day.judge.day_begins(100);
+    const auto ask = [&](double at, int inv, int tenant, int user, int attempt) {
+        Ask a;
+        a.tenant = tenant;
+        a.user = user;
+        a.attempt = attempt;
+        a.time_left = 1;
+        day.judge.asked(at, inv, a);
+    };
+    const auto serve = [&](double at, int inv) {
+        const int f = day.send(at - 0.01, inv, kBoxA);
+        day.done(at - 0.005, f);
+        day.judge.replied(at, inv, Reply::succeeded, f);
+    };
+    ask(100, 0, 0, 0, 0);
+    serve(100.4, 0);  // in time: 1 of 1
+    ask(100, 1, 0, 1, 0);
+    serve(100.6, 1);  // late: 0 of 1
+    ask(101, 2, 0, 2, 0);
+    day.judge.replied(101.1, 2, Reply::throttled, -1);
+    ask(101.2, 3, 0, 2, 1);
+    serve(101.4, 3);  // the second try, in time from the first: 1 of 1
+    for (int i = 0; i < 4; ++i) ask(102.1, 4 + i, 1, 3 + i, 0);  // two are beyond the share: 2 + 2 x 0.1
+    serve(102.2, 4);
+    serve(102.2, 7);  // within, and beyond
+    const Verdict v = day.judge.finish(110);
+    EXPECT_NEAR(v.whole.asked, 3 + 2.2, 1e-9);
+    EXPECT_NEAR(v.whole.earned, 2 + 1.1, 1e-9);
+    EXPECT_NEAR(v.tenants[1].part(), 1.1 / 2.2, 1e-9);
+    EXPECT_NEAR(v.seconds[0].part(), 0.5, 1e-9);
+    EXPECT_EQ(v.users, 7U);
+    EXPECT_EQ(v.invocations, 8U);
+}
+
+}  // namespace
