One set of stand-ins: the node's tests use the kit's scripted peers and processes; tests of TOML files

Need: node_test had its own stand-ins and process handling beside the kit's. Change: they move to src/kit/scripted_peer and use the kit's Daemon, whose environment is made before the fork (a child of many threads may allocate nothing). tests/files_test holds tables of wrong operators' and scenario files with their exact complaints.

--- a/src/kit/daemon.cpp
+++ b/src/kit/daemon.cpp
@@ -15,6 +15,8 @@
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
+#include <string_view>
+#include <vector>
 
 namespace brookrelay::kit {
 namespace {
@@ -54,6 +56,13 @@
 void Daemon::start() {
     const std::string config = "GW_CONFIG=" + config_path();
     const std::string log = log_path();
+    // Made before the fork: in a child of many threads nothing may be allocated.
+    std::vector<char*> environment;
+    for (char** at = environ; *at != nullptr; ++at) {
+        if (!std::string_view(*at).starts_with("GW_CONFIG=")) environment.push_back(*at);
+    }
+    environment.push_back(const_cast<char*>(config.c_str()));
+    environment.push_back(nullptr);
     const pid_t parent = getpid();
     pid_ = fork();
     if (pid_ < 0) throw std::runtime_error("cannot start a process");
@@ -80,8 +89,8 @@
     std::signal(SIGINT, SIG_DFL);
     std::signal(SIGTERM, SIG_DFL);
     std::signal(SIGPIPE, SIG_DFL);
-    putenv(const_cast<char*>(config.c_str()));
-    execl(place_.program.c_str(), place_.program.c_str(), nullptr);
+    char* const arguments[] = {const_cast<char*>(place_.program.c_str()), nullptr};
+    execve(place_.program.c_str(), arguments, environment.data());
     _exit(127);
 }
 
--- /dev/null
+++ b/src/kit/scripted_peer.cpp
@@ -0,0 +1,154 @@
+#include "scripted_peer.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <stdexcept>
+#include <utility>
+
+#include "conn.h"
+
+namespace brookrelay::kit {
+namespace {
+
+constexpr int kBacklog = 64;
+
+sockaddr_in address_of(const std::string& host, int port) {
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_port = htons(static_cast<std::uint16_t>(port));
+    inet_pton(AF_INET, host.c_str(), &a.sin_addr);
+    return a;
+}
+
+void need(bool well, const char* what) {
+    if (!well) throw std::runtime_error(what);
+}
+
+}  // namespace
+
+int bound_socket(int& port) {
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in a = address_of(own_loopback(), 0);
+    socklen_t length = sizeof a;
+    need(bind(fd, reinterpret_cast<sockaddr*>(&a), length) == 0, "cannot bind");
+    need(getsockname(fd, reinterpret_cast<sockaddr*>(&a), &length) == 0, "cannot name a socket");
+    port = ntohs(a.sin_port);
+    return fd;
+}
+
+Line::Line(const std::string& host, int port) : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const sockaddr_in a = address_of(host, port);
+    up_ = connect(fd_, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0;
+}
+
+Line::~Line() { close(fd_); }
+
+void Line::send(const std::string& text) const { (void)::send(fd_, text.data(), text.size(), MSG_NOSIGNAL); }
+
+std::string Line::until(const std::string& end) {
+    std::size_t at = 0;
+    while ((at = in_.find(end)) == std::string::npos) {
+        if (!more()) return std::exchange(in_, {});
+    }
+    return bytes(at + end.size());
+}
+
+std::string Line::bytes(std::size_t n) {
+    while (in_.size() < n && more()) continue;
+    const std::string out = in_.substr(0, n);
+    in_.erase(0, n);
+    return out;
+}
+
+void Line::shut() const { shutdown(fd_, SHUT_RDWR); }
+
+bool Line::more() {
+    pollfd p{fd_, POLLIN, 0};
+    need(poll(&p, 1, kPatienceMs) == 1, "what was waited for never came");
+    char room[65536];
+    const ssize_t n = recv(fd_, room, sizeof room, 0);
+    if (n > 0) in_.append(room, static_cast<std::size_t>(n));
+    return n > 0;
+}
+
+ScriptedPeer::ScriptedPeer(bool http) : http_(http), listener_(bound_socket(port)) {
+    need(listen(listener_, kBacklog) == 0, "cannot listen");
+    acceptor_ = std::thread([this] { accept_all(); });
+}
+
+ScriptedPeer::~ScriptedPeer() {
+    ending_ = true;
+    shutdown(listener_, SHUT_RDWR);
+    if (acceptor_.joinable()) acceptor_.join();
+    for (Line& l : lines_) l.shut();
+    for (std::thread& t : threads_) t.join();
+    close(listener_);
+}
+
+void ScriptedPeer::plays(Script script) {
+    const std::lock_guard lock(mutex_);
+    script_ = std::move(script);
+}
+
+void ScriptedPeer::stall() {
+    ending_ = true;
+    (void)Line(own_loopback(), port).up();
+    acceptor_.join();
+    need(listen(listener_, 0) == 0, "cannot listen");
+}
+
+std::vector<std::string> ScriptedPeer::heard() {
+    const std::lock_guard lock(mutex_);
+    return heard_;
+}
+
+std::string ScriptedPeer::address() const { return own_loopback() + ":" + std::to_string(port); }
+
+void ScriptedPeer::accept_all() {
+    while (true) {
+        const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+        if (fd < 0 || ending_) {
+            if (fd >= 0) close(fd);
+            return;
+        }
+        ++connections;
+        Line& line = lines_.emplace_back(fd);
+        threads_.emplace_back([this, &line] { serve(line); });
+    }
+}
+
+std::string ScriptedPeer::message(Line& line) const {
+    std::string text = line.until(http_ ? "\r\n\r\n" : "\r\n");
+    std::size_t body = 0;
+    if (http_) {
+        const std::size_t at = text.find("Content-Length: ");
+        if (at != std::string::npos) body = std::stoul(text.substr(at + 16));
+    } else if (text.starts_with("ms ")) {
+        body = std::stoul(text.substr(text.find(' ', 3) + 1)) + 2;
+    }
+    return body > 0 ? text + line.bytes(body) : text;
+}
+
+void ScriptedPeer::serve(Line& line) {
+    while (true) {
+        const std::string text = message(line);
+        if (text.empty()) break;
+        Script script;
+        {
+            const std::lock_guard lock(mutex_);
+            heard_.push_back(text);
+            script = script_;
+        }
+        const Act act = script(text);
+        if (!act.text.empty()) line.send(act.text);
+        if (act.close) break;
+    }
+    line.shut();
+    ++ended;
+}
+
+}  // namespace brookrelay::kit
--- /dev/null
+++ b/tests/files_test.cpp
@@ -0,0 +1,151 @@
+// The operators' TOML files: what is wrong is said with file, line, key and what was expected, all of it at once;
+// what is right comes out as it was written.
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include <fstream>
+#include <string>
+
+#include "operator.h"
+#include "scenario.h"
+#include "toml.h"
+
+namespace {
+
+using namespace brookrelay;
+
+std::string file_with(const std::string& text) {
+    const std::string path = testing::TempDir() + "file-" + std::to_string(getpid()) + ".toml";
+    std::ofstream(path) << text;
+    return path;
+}
+
+// What reading says, without the file's path.
+template <typename Read>
+std::string said(const std::string& text, Read read) {
+    const std::string path = file_with(text);
+    try {
+        read(path);
+    } catch (const BadFile& bad) {
+        std::string all = bad.what();
+        for (std::size_t at = all.find(path); at != std::string::npos; at = all.find(path)) {
+            all.replace(at, path.size(), "F");
+        }
+        return all;
+    }
+    return "";
+}
+
+TEST(OperatorFile, SaysWhatIsWrong) {
+    const struct {
+        const char* text;
+        const char* complaint;
+    } cases[] = {
+        {"", ""},
+        {"[log]\nformat = \"json\"\n", ""},
+        {"[log\n", "F:1: syntax: "},
+        {"[log]\nformat = \"jsn\"\n", "F:2: log.format: expected one of \"human\", \"json\", found 'jsn'; did you mean 'json'?"},
+        {"[log]\nformat = 3\n", "F:2: log.format: expected one of"},
+        {"\n[log]\nfromat = \"json\"\n", "F:3: log.fromat: unknown key; did you mean 'format'?"},
+        {"[log]\nzzzzzzzz = 1\n", "F:2: log.zzzzzzzz: unknown key; expected one of: format, lines_a_second"},
+        {"[lag]\n", "F:1: lag: unknown key; did you mean 'log'?"},
+        {"log = 1\n", "F:1: log: expected a table [log], found a integer"},
+        {"[log]\nlines_a_second = 0\n", "F:2: log.lines_a_second: expected 1 to 100000, found 0"},
+        {"[log]\nlines_a_second = 1.5\n", "F:2: log.lines_a_second: expected a whole number"},
+        {"[log]\nlines_a_second = 0\nformat = 1\n", "F:3: log.format: expected one of \"human\", \"json\", found ''\nF:2: log.lines"},
+    };
+    for (const auto& c : cases) {
+        const std::string all = said(c.text, [](const std::string& path) { (void)read_operator_file(path); });
+        EXPECT_EQ(all.substr(0, std::string(c.complaint).size()), c.complaint) << c.text;
+        EXPECT_EQ(all.empty(), std::string(c.complaint).empty()) << all;
+    }
+    EXPECT_THROW((void)read_operator_file("/no/such/file.toml"), BadFile);
+    EXPECT_TRUE(read_operator_file(file_with("[log]\nformat = \"json\"\n")).json_log);
+}
+
+const char* const kScenario =
+    "format = \"scenario 1\"\n"             // 1
+    "[day]\n"                               // 2
+    "length = \"20s\"\n"                    // 3
+    "[[server]]\n"                          // 4
+    "name = \"box\"\n"                      // 5
+    "count = 2\n"                           // 6
+    "[[operation]]\n"                       // 7
+    "name = \"read\"\n"                     // 8
+    "client_timeout = \"1s\"\n"             // 9
+    "[[tenant]]\n"                          // 10
+    "name = \"shops\"\n"                    // 11
+    "[[trouble]]\n"                         // 12
+    "what = \"silent\"\n"                   // 13
+    "who = [\"box-1\"]\n"                   // 14
+    "at = \"5s\"\n"                         // 15
+    "lasts = \"2s\"\n";                     // 16
+
+TEST(Scenario, SaysWhatIsWrong) {
+    const struct {
+        const char* from;
+        const char* to;
+        const char* complaint;
+    } cases[] = {
+        {"20s", "20s", ""},
+        {"format = \"scenario 1\"", "", "F:1: format: is missing; expected \"scenario 1\""},
+        {"scenario 1", "scenario 9", "F:1: format: expected one of \"scenario 1\", found 'scenario 9'"},
+        {"\"20s\"", "20", "F:3: day.length: expected a duration with its unit"},
+        {"\"20s\"", "\"20\"", "F:3: day.length: expected a duration with its unit"},
+        {"\"20s\"", "\"9h\"", "F:3: day.length: expected 1s to 2h, found 9h"},
+        {"count = 2", "cuont = 2", "F:6: server[0].cuont: unknown key; did you mean 'count'?"},
+        {"silent", "slient", "F:13: trouble[0].what: expected one of \"silent\""},
+        {"box-1", "box-3", "F:14: trouble[0].who: there is no 'box-3'; did you mean 'box-1'?"},
+        {"who = [\"box-1\"]", "", "F:12: trouble[0].who: is missing; 'silent' needs a list of names"},
+        {"who = [\"box-1\"]", "who = \"box-1\"", "F:14: trouble[0].who: expected a list of texts, found a string"},
+        {"at = \"5s\"", "", "F:12: trouble[0].at: is missing"},
+        {"at = \"5s\"", "at = \"21s\"", "F:15: trouble[0].at: expected 0s to 20s, found 21s"},
+        {"lasts = \"2s\"", "", "F:12: trouble[0].lasts: is missing; 'silent' needs it"},
+        {"client_timeout = \"1s\"", "client_timeout = \"1s\"\nlatency_objective = \"2s\"",
+         "F:10: operation[0].latency_objective: expected no more than client_timeout (1s), found 2s"},
+        {"client_timeout = \"1s\"", "repeat = \"deduplicated\"", "F:7: operation[0].dedup_window: is needed"},
+        {"[[operation]]", "[operation]", "F:7: operation: expected entries [[operation]], found a table"},
+        {"name = \"read\"", "name = \"a b\"", "F:7: operation: expected a name without blanks"},
+    };
+    for (const auto& c : cases) {
+        std::string text = kScenario;
+        text.replace(text.find(c.from), std::string(c.from).size(), c.to);
+        const std::string all = said(text, [](const std::string& path) { (void)read_scenario(path); });
+        EXPECT_EQ(all.substr(0, std::string(c.complaint).size()), c.complaint) << c.to;
+        EXPECT_EQ(all.empty(), std::string(c.complaint).empty()) << all;
+    }
+}
+
+TEST(Scenario, TakesValuesPutOverIt) {
+    const std::string path = file_with(kScenario);
+    const Scenario s = read_scenario(path, {"day.length=30s", "server.0.count=5", "clients.rate=77", "trouble.0.at=\"6s\"",
+                                            "clients.curve=[[\"0s\", 1.0], [\"10s\", 3.0]]"});
+    EXPECT_EQ(s.length, 30);
+    EXPECT_EQ(s.kinds[0].count, 5);
+    EXPECT_EQ(s.clients.rate, 77);
+    EXPECT_EQ(s.troubles[0].at, 6);
+    EXPECT_DOUBLE_EQ(at(s.clients.curve, 5, 1), 2);
+    EXPECT_EQ(s.server_names(), (std::vector<std::string>{"box-1", "box-2", "box-3", "box-4", "box-5", "origin"}));
+    for (const char* wrong : {"nothing", "=3", "server.7.count=1", "day.length.x=1", "server.0=1"}) {
+        EXPECT_THROW((void)read_scenario(path, {wrong}), BadFile) << wrong;
+    }
+    // What is put over is checked as the file is.
+    EXPECT_THROW((void)read_scenario(path, {"day.lenght=30s"}), BadFile);
+}
+
+TEST(Durations, NeedTheirUnits) {
+    const struct {
+        const char* text;
+        double seconds;  // -1: none
+    } cases[] = {{"250ms", 0.25}, {"3s", 3}, {"1.5m", 90}, {"2h", 7200}, {"40us", 40e-6}, {"3", -1}, {"", -1},
+                 {"s", -1},       {"3 s", -1}, {"-3s", -1}, {"1.2.3s", -1}, {"3days", -1}};
+    for (const auto& c : cases) {
+        double seconds = -1;
+        const bool sound = parse_duration(c.text, seconds);
+        EXPECT_EQ(sound, c.seconds >= 0) << c.text;
+        EXPECT_NEAR(sound ? seconds : c.seconds, c.seconds, 1e-12) << c.text;
+    }
+}
+
+}  // namespace
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -1,12 +1,6 @@
 // The program itself, over loopback sockets: it is started with small stand-ins for caches, the origin and
 // discovery, and spoken to as clients would. Nothing here hangs on how fast the machine is: each wait is for
 // something to happen, and its limit is only there to end a test that has already failed.
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/prctl.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -14,193 +8,28 @@
 #include <chrono>
 #include <csignal>
 #include <cstdio>
-#include <cstdlib>
 #include <fstream>
 #include <functional>
 #include <iterator>
 #include <list>
-#include <mutex>
+#include <memory>
 #include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
-namespace {
-
-constexpr int kPatience = 20000;  // ms
-
-std::string loopback() {
-    // Of this process alone, so that tests side by side cannot take each other's ports.
-    const int pid = getpid();
-    return "127." + std::to_string(100 + pid % 100) + "." + std::to_string(pid / 100 % 250) + ".1";
-}
-
-sockaddr_in address_of(const std::string& host, int port) {
-    sockaddr_in a{};
-    a.sin_family = AF_INET;
-    a.sin_port = htons(static_cast<std::uint16_t>(port));
-    inet_pton(AF_INET, host.c_str(), &a.sin_addr);
-    return a;
-}
-
-int bound_socket(int& port) {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in a = address_of(loopback(), 0);
-    socklen_t length = sizeof a;
-    assert(bind(fd, reinterpret_cast<sockaddr*>(&a), length) == 0);
-    assert(getsockname(fd, reinterpret_cast<sockaddr*>(&a), &length) == 0);
-    port = ntohs(a.sin_port);
-    return fd;
-}
-
-// A socket with what has been read from it and not yet used.
-class Line {
-  public:
-    explicit Line(int fd) : fd_(fd) {}
-    Line(const std::string& host, int port) : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-        const sockaddr_in a = address_of(host, port);
-        up_ = connect(fd_, reinterpret_cast<const sockaddr*>(&a), sizeof a) == 0;
-    }
-    ~Line() { close(fd_); }
-    Line(const Line&) = delete;
-    Line& operator=(const Line&) = delete;
-
-    bool up() const { return up_; }
-    void send(const std::string& text) const { (void)::send(fd_, text.data(), text.size(), MSG_NOSIGNAL); }
-    // Up to and with `end`, or what came before the peer closed.
-    std::string until(const std::string& end) {
-        std::size_t at = 0;
-        while ((at = in_.find(end)) == std::string::npos) {
-            if (!more()) return std::exchange(in_, {});
-        }
-        return bytes(at + end.size());
-    }
-    std::string bytes(std::size_t n) {
-        while (in_.size() < n && more()) continue;
-        const std::string out = in_.substr(0, n);
-        in_.erase(0, n);
-        return out;
-    }
-    bool closed_by_peer() { return in_.empty() && !more() && in_.empty(); }
-    void shut() const { shutdown(fd_, SHUT_RDWR); }
+#include "conn.h"
+#include "daemon.h"
+#include "scripted_peer.h"
 
-  private:
-    bool more() {
-        pollfd p{fd_, POLLIN, 0};
-        assert(poll(&p, 1, kPatience) == 1);
-        char room[65536];
-        const ssize_t n = recv(fd_, room, sizeof room, 0);
-        if (n > 0) in_.append(room, static_cast<std::size_t>(n));
-        return n > 0;
-    }
-    int fd_;
-    bool up_ = true;
-    std::string in_;
-};
-
-// What a stand-in does with one message: sends a text, if there is one, and may then close.
-struct Act {
-    std::string text;
-    bool close = false;
-};
-
-// Listens and hands each message to its script, a thread a connection. Messages are kept for the tests.
-class StandIn {
-  public:
-    using Script = std::function<Act(const std::string& message)>;
-    explicit StandIn(bool http) : http_(http), listener_(bound_socket(port)) {
-        assert(listen(listener_, 64) == 0);
-        acceptor_ = std::thread([this] { accept_all(); });
-    }
-    ~StandIn() {
-        ending_ = true;
-        shutdown(listener_, SHUT_RDWR);
-        if (acceptor_.joinable()) acceptor_.join();
-        for (Line& l : lines_) l.shut();
-        for (std::thread& t : threads_) t.join();
-        close(listener_);
-    }
-    StandIn(const StandIn&) = delete;
-    StandIn& operator=(const StandIn&) = delete;
-
-    void plays(Script script) {
-        const std::lock_guard lock(mutex_);
-        script_ = std::move(script);
-    }
-    // Accepts no more, with room for one connection in the queue.
-    void stall() {
-        ending_ = true;
-        Line(loopback(), port).up();
-        acceptor_.join();
-        assert(listen(listener_, 0) == 0);
-    }
-    std::vector<std::string> heard() {
-        const std::lock_guard lock(mutex_);
-        return heard_;
-    }
-    std::string address() const { return loopback() + ":" + std::to_string(port); }
-
-    int port = 0;
-    std::atomic<int> connections{0};
-    std::atomic<int> ended{0};
-
-  private:
-    void accept_all() {
-        while (true) {
-            const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd < 0 || ending_) {
-                if (fd >= 0) close(fd);
-                return;
-            }
-            ++connections;
-            Line& line = lines_.emplace_back(fd);
-            threads_.emplace_back([this, &line] { serve(line); });
-        }
-    }
-    std::string message(Line& line) const {
-        std::string text = line.until(http_ ? "\r\n\r\n" : "\r\n");
-        std::size_t body = 0;
-        if (http_) {
-            const std::size_t at = text.find("Content-Length: ");
-            if (at != std::string::npos) body = std::stoul(text.substr(at + 16));
-        } else if (text.starts_with("ms ")) {
-            body = std::stoul(text.substr(text.find(' ', 3) + 1)) + 2;
-        }
-        return body > 0 ? text + line.bytes(body) : text;
-    }
-    void serve(Line& line) {
-        while (true) {
-            const std::string text = message(line);
-            if (text.empty()) break;
-            Script script;
-            {
-                const std::lock_guard lock(mutex_);
-                heard_.push_back(text);
-                script = script_;
-            }
-            const Act act = script(text);
-            if (!act.text.empty()) line.send(act.text);
-            if (act.close) break;
-        }
-        line.shut();
-        ++ended;
-    }
+namespace {
 
-    const bool http_;
-    int listener_;
-    std::thread acceptor_;
-    std::mutex mutex_;
-    Script script_ = [](const std::string&) { return Act{}; };
-    std::vector<std::string> heard_;
-    std::list<Line> lines_;
-    std::vector<std::thread> threads_;
-    std::atomic<bool> ending_{false};
-};
+using namespace brookrelay::kit;
 
 template <typename Condition>
 void wait_for(Condition condition) {
-    for (int ms = 0; ms < kPatience; ms += 5) {
+    for (int ms = 0; ms < kPatienceMs; ms += 5) {
         if (condition()) return;
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
@@ -221,10 +50,15 @@
     return "mg " + key + " v O" + id + " Pc=read,t=acme,d=" + std::to_string(ms) + "\r\n";
 }
 
+std::string next_name() {
+    static int count = 0;
+    return "brookrelay_node_" + std::to_string(getpid()) + "_" + std::to_string(++count);
+}
+
 struct Around {
     int descriptors = 256;
     int connect_timeout_ms = 250;
-    StandIn::Script watch = silent;
+    ScriptedPeer::Script watch = silent;
     bool aside = true;  // false: caches fetch for themselves, and no origin is listed
     int memory_mb = 192;
 };
@@ -239,14 +73,11 @@
         int port = 0;
         close(bound_socket(port));
         port_ = port;
-        char path[] = "/tmp/brookrelay_node_XXXXXX";
-        close(mkstemp(path));
-        path_ = path;
-        log_ = path_ + ".log";
+        daemon_ = std::make_unique<Daemon>(Daemon::Place{BROOKRELAY_PROGRAM, "/tmp", next_name(), "", -1});
         std::string hosts = around.aside ? entry("origin", origin, "SERVING") : "";
-        for (StandIn& c : caches) hosts += (hosts.empty() ? "" : ",") + entry(name(c), c, "SERVING");
+        for (ScriptedPeer& c : caches) hosts += (hosts.empty() ? "" : ",") + entry(name(c), c, "SERVING");
         std::ostringstream told;
-        told << R"({"name":"n1","listen":")" << loopback() << ":" << port_ << R"(","discovery":")"
+        told << R"({"name":"n1","listen":")" << own_loopback() << ":" << port_ << R"(","discovery":")"
              << discovery.address() << R"(","seed":"1f","limits":{"sockets":)" << around.descriptors
              << R"(,"memory_mb":)" << around.memory_mb << R"(},"known":{"seq":7,"whole":true,"hosts":[)"
              << hosts << R"(]},"settings":{"az":0,"balancers":2,"localities":["a"],"kinds":["m","origin"],
@@ -260,39 +91,29 @@
  {"name":"put","repeat":"deduplicated","group":"all","key_ttl_us":3000000,"client_timeout_us":2000000}]}})";
         told_ = told.str();
         configure(told_);
-        pid_ = fork();
-        if (pid_ == 0) {
-            prctl(PR_SET_PDEATHSIG, SIGKILL);  // a test that fails must leave no node behind
-            setenv("GW_CONFIG", path_.c_str(), 1);
-            std::freopen(log_.c_str(), "w", stderr);
-            execl(BROOKRELAY_PROGRAM, BROOKRELAY_PROGRAM, nullptr);
-            _exit(127);
-        }
-        wait_for([this] { return Line(loopback(), port_).up(); });
-        Line line(loopback(), port_);
+        daemon_->start();
+        wait_for([this] { return Line(own_loopback(), port_).up(); });
+        Line line(own_loopback(), port_);
         line.send("mn\r\n");
         assert(line.until("\r\n") == "MN\r\n");
     }
     ~Fleet() {
-        if (pid_ > 0) {
-            kill(pid_, SIGKILL);
-            waitpid(pid_, nullptr, 0);
-        }
-        std::remove(path_.c_str());
-        std::remove(log_.c_str());
+        daemon_->kill();
+        std::remove(daemon_->config_path().c_str());
+        std::remove(daemon_->log_path().c_str());
     }
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
 
-    static std::string name(const StandIn& s) { return "s-" + std::to_string(s.port); }
-    static std::string entry(const std::string& host, const StandIn& s, const char* health) {
+    static std::string name(const ScriptedPeer& s) { return "s-" + std::to_string(s.port); }
+    static std::string entry(const std::string& host, const ScriptedPeer& s, const char* health) {
         return R"({"host":")" + host + R"(","dial":")" + s.address() + R"(","site":"a","class":")" +
                (host == "origin" ? "origin" : "m") + R"(","block":0,"health":")" + health +
                R"(","share":1.0,"born_ms":0})";
     }
     int port() const { return port_; }
-    void signal(int number) const { kill(pid_, number); }
-    void configure(const std::string& text) const { std::ofstream(path_) << text; }
+    void signal(int number) const { daemon_->signal(number); }
+    void configure(const std::string& text) const { daemon_->configure(text); }
     // The configuration with one of its texts in another's place.
     std::string told_with(const std::string& from, const std::string& to) const {
         std::string text = told_;
@@ -301,42 +122,40 @@
         return text.replace(at, from.size(), to);
     }
     bool logged(const std::string& text) const {
-        std::ifstream file(log_);
+        std::ifstream file(daemon_->log_path());
         return std::string(std::istreambuf_iterator<char>(file), {}).find(text) != std::string::npos;
     }
-    bool alive() const { return waitpid(pid_, nullptr, WNOHANG) == 0; }
+    bool alive() const { return daemon_->running(); }
     int exit_code() {
-        int status = 0;
-        waitpid(pid_, &status, 0);
-        pid_ = 0;
-        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        wait_for([this] { return !daemon_->running(); });
+        return daemon_->exit_code();
     }
     std::string ask(const std::string& command) const {
-        Line line(loopback(), port_);
+        Line line(own_loopback(), port_);
         line.send(command);
         return line.until("\r\n");
     }
 
-    std::list<StandIn> caches;
-    StandIn origin{true};
-    StandIn discovery{true};
+    std::list<ScriptedPeer> caches;
+    ScriptedPeer origin{true};
+    ScriptedPeer discovery{true};
 
   private:
     int port_ = 0;
-    pid_t pid_ = 0;
-    std::string path_, log_, told_;
+    std::unique_ptr<Daemon> daemon_;
+    std::string told_;
 };
 
 void a_hit_goes_to_one_cache_and_back() {
     Fleet fleet(3);
-    Line line(loopback(), fleet.port());
+    Line line(own_loopback(), fleet.port());
     for (int n = 0; n < 3; ++n) {
         line.send(read_of("7f3a", "id" + std::to_string(n)));
         assert(line.until("\r\n") == "VA 5 Oid" + std::to_string(n) + "\r\n");
         assert(line.bytes(7) == "hello\r\n");
     }
     int asked = 0, connections = 0;
-    for (StandIn& c : fleet.caches) {
+    for (ScriptedPeer& c : fleet.caches) {
         for (const std::string& command : c.heard()) {
             ++asked;
             assert(command.starts_with("mg 7f3a v Oid") &&
@@ -349,8 +168,8 @@
 
 void a_miss_is_fetched_from_the_origin() {
     Fleet fleet(2);
-    for (StandIn& c : fleet.caches) c.plays(miss);
-    Line line(loopback(), fleet.port());
+    for (ScriptedPeer& c : fleet.caches) c.plays(miss);
+    Line line(own_loopback(), fleet.port());
     line.send(read_of("7f3a", "m1"));
     assert(line.until("\r\n") == "VA 4 Om1\r\n" && line.bytes(6) == "made\r\n");
     const auto heard = fleet.origin.heard();
@@ -387,7 +206,7 @@
          {Case{"500 E", "SERVER_ERROR busy\r\n"}, Case{"503 B\r\nX-Never-Ran: 1", "SERVER_ERROR busy\r\n"}}) {
         Fleet fleet(1);
         fleet.origin.plays([&c](const std::string&) { return Act{http("", c.status)}; });
-        Line line(loopback(), fleet.port());
+        Line line(own_loopback(), fleet.port());
         line.send("ms k 1 Ow1 Pc=put,d=600\r\nx\r\n");
         assert(line.until("\r\n") == c.answer);
         line.send("mn\r\n");
@@ -398,7 +217,7 @@
 
 void broken_peers_fail_one_exchange() {
     struct Case {
-        StandIn::Script script;
+        ScriptedPeer::Script script;
     };
     for (const Case& c : {Case{[](const std::string&) {
                               return Act{"", true};
@@ -411,7 +230,7 @@
                           Case{[](const std::string& m) { return Act{"HD O" + id_in(m) + " c1\r\n"}; }}}) {
         Fleet fleet(3);
         std::atomic<bool> first{true};
-        for (StandIn& s : fleet.caches) {
+        for (ScriptedPeer& s : fleet.caches) {
             s.plays([&](const std::string& m) { return first.exchange(false) ? c.script(m) : hit(m); });
         }
         assert(fleet.ask(read_of("7f3a", "b1")) == "VA 5 Ob1\r\n" && !first);
@@ -438,8 +257,8 @@
 void spoilt_answers_make_no_suspect() {
     Fleet fleet(2);
     assert(fleet.ask(read_of("7f3a", "s0")) == "VA 5 Os0\r\n");
-    StandIn& first = fleet.caches.front();
-    StandIn& owner = first.heard().empty() ? fleet.caches.back() : first;
+    ScriptedPeer& first = fleet.caches.front();
+    ScriptedPeer& owner = first.heard().empty() ? fleet.caches.back() : first;
     owner.plays([](const std::string&) { return Act{"what?\r\n"}; });
     for (int n = 1; n <= 5; ++n) {
         const std::string id = "s" + std::to_string(n);
@@ -451,7 +270,7 @@
 void a_silent_cache_is_given_up_in_time() {
     Fleet fleet(1);
     fleet.caches.front().plays(silent);
-    Line line(loopback(), fleet.port());
+    Line line(own_loopback(), fleet.port());
     line.send(read_of("7f3a", "s1", 300));
     assert(line.until("\r\n") == "SERVER_ERROR busy\r\n");
     wait_for([&] { return fleet.caches.front().ended == 1; });  // and told so, by closing its connection
@@ -461,7 +280,7 @@
     Fleet fleet(1);
     fleet.caches.front().plays(silent);
     {
-        Line line(loopback(), fleet.port());
+        Line line(own_loopback(), fleet.port());
         line.send(read_of("7f3a", "l1", 60000));
         wait_for([&] { return fleet.caches.front().heard().size() == 1; });
     }
@@ -483,11 +302,11 @@
         return Act{http(news)};
     };
     Fleet fleet(2, {256, 250, watch});
-    StandIn& drained = fleet.caches.front();
+    ScriptedPeer& drained = fleet.caches.front();
     news = R"({"seq":8,"whole":false,"hosts":[)" + Fleet::entry(Fleet::name(drained), drained, "DRAINING") +
            "]}";
     const auto all = [&fleet](const char* prefix) {
-        Line line(loopback(), fleet.port());
+        Line line(own_loopback(), fleet.port());
         for (int k = 0; k < 40; ++k) {
             line.send(read_of("k" + std::to_string(k), prefix + std::to_string(k)));
             assert(line.until("hello\r\n").ends_with("hello\r\n"));
@@ -514,7 +333,7 @@
         return Act{versioned ? http("", "404 Unknown") : http(whole)};
     };
     Fleet fleet(2, {256, 250, watch});
-    StandIn& kept = fleet.caches.back();
+    ScriptedPeer& kept = fleet.caches.back();
     whole = R"({"seq":3,"whole":true,"hosts":[)" + Fleet::entry(Fleet::name(kept), kept, "SERVING") + "]}";
     tell = true;
     wait_for([&] { return told.load(); });
@@ -528,7 +347,7 @@
 // Discovery as a test tells it: a watch is answered by the next change, or soon by none.
 class Told {
   public:
-    StandIn::Script script() {
+    ScriptedPeer::Script script() {
         return [this](const std::string& request) {
             const int held = std::stoi(request.substr(request.find("index=") + 6));
             asked_ = held;
@@ -563,8 +382,8 @@
 void gone_servers_are_forgotten() {
     Told told;
     Fleet fleet(2, {256, 250, told.script()});
-    StandIn& old = fleet.caches.front();
-    StandIn& fresh = fleet.caches.back();
+    ScriptedPeer& old = fleet.caches.front();
+    ScriptedPeer& fresh = fleet.caches.back();
     std::atomic<bool> go{false};
     const auto held = [&go](const std::string& m) {
         while (id_in(m) == "held" && !go) std::this_thread::sleep_for(std::chrono::milliseconds(1));
@@ -575,7 +394,7 @@
         return R"({"host":")" + host + R"(","health":"DELETED"})";
     };
     told.tell(deleted(Fleet::name(fresh)));
-    Line line(loopback(), fleet.port());
+    Line line(own_loopback(), fleet.port());
     line.send(read_of("1", "held"));
     wait_for([&] { return old.heard().size() == 1; });
     told.tell(deleted(Fleet::name(old)));
@@ -606,8 +425,8 @@
 // for everything, since its versions are its own.
 void a_new_configuration_is_taken_while_it_serves() {
     Fleet fleet(2);
-    StandIn& kept = fleet.caches.back();
-    StandIn other(true);
+    ScriptedPeer& kept = fleet.caches.back();
+    ScriptedPeer other(true);
     std::atomic<bool> told{false};
     const std::string whole =
         R"({"seq":1,"whole":true,"hosts":[)" + Fleet::entry(Fleet::name(kept), kept, "SERVING") + "]}";
@@ -642,14 +461,14 @@
         return Act{http(news)};
     };
     Fleet fleet(2, {256, 60000, watch});
-    StandIn& drained = fleet.caches.front();
+    ScriptedPeer& drained = fleet.caches.front();
     drained.stall();
-    const Line filler(loopback(), drained.port);  // with this one its queue is full: no other comes up
+    const Line filler(own_loopback(), drained.port);  // with this one its queue is full: no other comes up
     news = R"({"seq":8,"whole":false,"hosts":[)" + Fleet::entry(Fleet::name(drained), drained, "DRAINING") +
            "]}";
     std::list<Line> lines;
     for (int k = 0; k < 8; ++k) {  // few enough for one cache to be trusted with all at once
-        lines.emplace_back(loopback(), fleet.port());
+        lines.emplace_back(own_loopback(), fleet.port());
         lines.back().send(read_of("k" + std::to_string(k), "w" + std::to_string(k), 60000));
     }
     tell = true;
@@ -665,7 +484,7 @@
     fleet.caches.front().plays([&](const std::string& m) {
         return Act{"VA " + std::to_string(large.size()) + " O" + id_in(m) + " h1\r\n" + large + "\r\n"};
     });
-    Line line(loopback(), fleet.port());
+    Line line(own_loopback(), fleet.port());
     line.send(read_of("1", "l1"));
     assert(line.until("\r\n") == "VA 1000000 Ol1\r\n" && line.bytes(large.size() + 2) == large + "\r\n");
     // Also to a client that takes them late, when the last of its commands has already lost it the
@@ -686,7 +505,7 @@
     Fleet fleet(1, {256, 250, silent, true, 16});  // 4 MB for the clients' buffers
     std::list<Line> lines;
     for (int n = 0; n < 100; ++n) {
-        lines.emplace_back(loopback(), fleet.port());
+        lines.emplace_back(own_loopback(), fleet.port());
         lines.back().send("ms 7f3a 65000 Oh" + std::to_string(n) + " Pc=put,d=5000\r\n" +
                           std::string(60000, 'v'));
     }
@@ -699,13 +518,13 @@
 void split_and_pipelined_commands() {
     Fleet fleet(2);
     std::atomic<bool> go{false};
-    for (StandIn& c : fleet.caches) {
+    for (ScriptedPeer& c : fleet.caches) {
         c.plays([&go](const std::string& m) {
             while (id_in(m) == "slow" && !go) std::this_thread::sleep_for(std::chrono::milliseconds(1));
             return hit(m);
         });
     }
-    Line line(loopback(), fleet.port());
+    Line line(own_loopback(), fleet.port());
     for (char c : "ms 7f3a 3 Ow1 Pc=put,d=5000\r\na\r\n\r\n" + read_of("7f3a", "r1"))
         line.send(std::string(1, c));
     assert(line.until("\r\n") == "HD Ow1 cmade\r\n" && line.until("hello\r\n") == "VA 5 Or1\r\nhello\r\n");
@@ -737,7 +556,7 @@
           Case{"mg k v O1 Pc=none,d=9\r\n", "CLIENT_ERROR unknown operation\r\n", false},
           Case{"ms k x O1 Pc=put,d=9\r\n", "CLIENT_ERROR bad length\r\n", true},
           Case{std::string(5000, 'x'), "CLIENT_ERROR line too long\r\n", true}}) {
-        Line line(loopback(), fleet.port());
+        Line line(own_loopback(), fleet.port());
         line.send(c.command);
         assert(line.until("\r\n") == c.answer);
         if (c.closes) {
@@ -758,7 +577,7 @@
         while (!go) std::this_thread::sleep_for(std::chrono::milliseconds(1));
         return hit(m);
     });
-    Line first(loopback(), fleet.port());
+    Line first(own_loopback(), fleet.port());
     first.send(read_of("1", "same"));
     wait_for([&] { return fleet.caches.front().heard().size() == 1; });
     assert(fleet.ask(read_of("2", "same")) == "CLIENT_ERROR id in use\r\n");
@@ -770,13 +589,13 @@
 // Half a command, or nothing at all, keeps a descriptor for nothing; slow but going on is honest.
 void who_stops_is_let_go_and_who_is_slow_is_served() {
     Fleet fleet(1);
-    Line half(loopback(), fleet.port());
+    Line half(own_loopback(), fleet.port());
     half.send("ms 7f3a 5 Oh1 Pc=put,d=5000\r\nv");
-    Line mute(loopback(), fleet.port());
-    Line kept(loopback(), fleet.port());
+    Line mute(own_loopback(), fleet.port());
+    Line kept(own_loopback(), fleet.port());
     kept.send("mn\r\n");
     assert(kept.until("\r\n") == "MN\r\n");
-    Line slow(loopback(), fleet.port());
+    Line slow(own_loopback(), fleet.port());
     std::thread writer([&] {
         for (const char* part : {"mg 7f3a ", "v Os1", " Pc=rea", "d,d=5000\r\n"}) {
             slow.send(part);
@@ -797,7 +616,7 @@
     Fleet fleet(1, {64, 250, silent});  // room for 28 clients
     std::list<Line> lines;
     for (int n = 0; n < 100; ++n) {
-        lines.emplace_back(loopback(), fleet.port());
+        lines.emplace_back(own_loopback(), fleet.port());
         lines.back().send("mn\r\n");
     }
     for (Line& line : lines) assert(line.until("\r\n") == "MN\r\n");
@@ -809,7 +628,7 @@
     Fleet fleet(1);  // room for 144 clients
     std::list<Line> lines;
     for (int n = 0; n < 60; ++n) {
-        lines.emplace_back(loopback(), fleet.port());
+        lines.emplace_back(own_loopback(), fleet.port());
         lines.back().send(read_of("7f3a", "s" + std::to_string(n)));
         assert(lines.back().until("hello\r\n").ends_with("hello\r\n"));
     }
@@ -826,13 +645,13 @@
         while (id_in(m) == "held" && !go) std::this_thread::sleep_for(std::chrono::milliseconds(1));
         return hit(m);
     });
-    Line idle(loopback(), fleet.port());
+    Line idle(own_loopback(), fleet.port());
     idle.send("mn\r\n");
     assert(idle.until("\r\n") == "MN\r\n");
-    Line used(loopback(), fleet.port());
+    Line used(own_loopback(), fleet.port());
     used.send("mn\r\n");
     assert(used.until("\r\n") == "MN\r\n");
-    Line held(loopback(), fleet.port());
+    Line held(own_loopback(), fleet.port());
     held.send(read_of("7f3a", "held"));
     wait_for([&] { return fleet.caches.front().heard().size() == 1; });
     fleet.signal(SIGTERM);
@@ -841,7 +660,7 @@
     assert(used.until("hello\r\n") ==
            "VA 5 Oused\r\nhello\r\n");  // a connection that is there goes on serving
     assert(idle.closed_by_peer());
-    Line late(loopback(), fleet.port());
+    Line late(own_loopback(), fleet.port());
     late.send(read_of("7f3a", "late"));
     assert(late.until("hello\r\n") == "VA 5 Olate\r\nhello\r\n" && late.closed_by_peer());
     go = true;
@@ -853,7 +672,7 @@
     std::thread pest([&] {
         std::list<Line> lines;
         while (!ended) {
-            lines.emplace_back(loopback(), pestered.port());
+            lines.emplace_back(own_loopback(), pestered.port());
             std::this_thread::sleep_for(std::chrono::milliseconds(50));
         }
     });
@@ -865,7 +684,7 @@
     assert(std::chrono::steady_clock::now() - told < std::chrono::milliseconds(2400));  // else 2.9 s
     Fleet stuck(1);
     stuck.caches.front().plays(silent);
-    Line last(loopback(), stuck.port());
+    Line last(own_loopback(), stuck.port());
     last.send(read_of("7f3a", "last", 60000));
     wait_for([&] { return stuck.caches.front().heard().size() == 1; });
     stuck.signal(SIGTERM);
