--- a/src/kit/daemon.h
+++ b/src/kit/daemon.h
@@ -27,7 +27,6 @@
         std::string program;
         std::string folder;     // for its configuration and its log
         std::string name;
-        std::string listen;
         int cpu = -1;           // the core that it is held to; -1: any
     };
     explicit Daemon(Place place) : place_(std::move(place)) {}
--- a/src/kit/load.cpp
+++ b/src/kit/load.cpp
@@ -215,7 +215,7 @@
     const Tcp::endpoint where(boost::asio::ip::make_address(host), port);
     const int cpu = plan.cpu >= 0 ? plan.cpu : static_cast<int>(std::thread::hardware_concurrency()) - 1;
     const std::string listen = host + ":" + std::to_string(port);
-    Daemon daemon({plan.program, plan.folder, "load", listen, cpu});
+    Daemon daemon({plan.program, plan.folder, "load", cpu});
     daemon.configure(station_json(scenario, 0, listen, discovery_at,
                                   R"({"seq":1,"whole":true,"hosts":[)" + hosts + "]}", 7));
     daemon.start();
--- a/src/kit/rehearsal.cpp
+++ b/src/kit/rehearsal.cpp
@@ -11,6 +11,7 @@
 #include <iterator>
 #include <memory>
 #include <random>
+#include <utility>
 
 #include "cache_server.h"
 #include "clients.h"
@@ -22,6 +23,9 @@
 namespace {
 
 constexpr double kStartMost = 15;       // s for a daemon to answer at all
+constexpr double kAnswerMost = 0.5;     // s for an answer to the question whether it serves
+constexpr int kCannotListen = 1;        // the exit code of a daemon whose port is taken
+constexpr std::uint64_t kStartsMost = 4;
 constexpr double kLookAtSelf = 0.005;   // s between looks at the own lateness
 constexpr double kLookAtDaemons = 0.05;
 constexpr double kFrontMovesAway = 0.3; // s after SIGTERM until the front deals a node nothing new
@@ -80,6 +84,7 @@
         }
     };
 
+    void place_node(int node, unsigned short port);
     void start_node(int node);
     void ask_whether_ready(int node, double until);
     void ready(int node);
@@ -161,6 +166,12 @@
 
 // ---- nodes ----------------------------------------------------------------------------------------------
 
+void Day::place_node(int node, unsigned short port) {
+    Node& n = nodes_[index(node)];
+    n.listen = world_.host + ":" + std::to_string(port);
+    crowd_->node_at(node, {boost::asio::ip::make_address(world_.host), port});
+}
+
 void Day::start_node(int node) {
     Node& n = nodes_[index(node)];
     n.ready = false;
@@ -179,6 +190,11 @@
     if (!n.daemon->running()) {
         if (n.daemon->expected_to_end) return;
         if (has_begun_) return;  // look_at_daemons() says so
+        // Between the look for a free port and the daemon's own start somebody else may have taken it.
+        if (n.daemon->exit_code() == kCannotListen && n.starts < kStartsMost) {
+            place_node(node, free_port(io_, world_.host));
+            return start_node(node);
+        }
         return fail("the daemon ended at its start with exit code " + std::to_string(n.daemon->exit_code()) + "; see " +
                     n.daemon->log_path());
     }
@@ -186,17 +202,25 @@
     const std::size_t colon = n.listen.find(':');
     const Tcp::endpoint where(boost::asio::ip::make_address(n.listen.substr(0, colon)),
                               static_cast<unsigned short>(std::stoul(n.listen.substr(colon + 1))));
-    const auto again = [this, node, until](Conn&) {
+    // Whoever listens there may be somebody else, who never answers.
+    const auto asked_again = std::make_shared<bool>(false);
+    const auto again = [this, node, until, asked_again] {
+        if (std::exchange(*asked_again, true)) return;
         world_.at(world_.now() + 0.02, [this, node, until] { ask_whether_ready(node, until); });
     };
     const auto conn = Conn::to(io_, where, clock_,
                                {[](Conn& c) { c.write("mn\r\n"); },
-                                [this, node](Conn& c) {
+                                [this, node, asked_again](Conn& c) {
                                     if (!c.input().starts_with("MN")) return;
+                                    *asked_again = true;
                                     c.close();
                                     ready(node);
                                 },
-                                again});
+                                [again](Conn&) { again(); }});
+    world_.at(world_.now() + kAnswerMost, [conn, again] {
+        conn->close();
+        again();
+    });
 }
 
 void Day::ready(int node) {
@@ -474,12 +498,9 @@
     result_.series.servers = scenario_.server_names();
     crowd_ = std::make_unique<Crowd>(world_, schedule_, plan_.seed);
     for (int n = 0; n < scenario_.nodes; ++n) {
-        Node& node = nodes_[index(n)];
-        const unsigned short port = free_port(io_, world_.host);
-        node.listen = world_.host + ":" + std::to_string(port);
-        node.daemon = std::make_unique<Daemon>(
-            Daemon::Place{plan_.program, plan_.folder, "n" + std::to_string(n), node.listen, -1});
-        crowd_->node_at(n, {boost::asio::ip::make_address(world_.host), port});
+        nodes_[index(n)].daemon = std::make_unique<Daemon>(
+            Daemon::Place{plan_.program, plan_.folder, "n" + std::to_string(n), -1});
+        place_node(n, n == 0 && plan_.first_port != 0 ? plan_.first_port : free_port(io_, world_.host));
         start_node(n);
     }
     // The loop wakes at least this often to hear of an interruption.
--- a/src/kit/rehearsal.h
+++ b/src/kit/rehearsal.h
@@ -20,6 +20,7 @@
     std::uint64_t seed = 1;
     std::string program;   // the daemon under rehearsal
     std::string folder;    // for its configuration and logs; must exist
+    unsigned short first_port = 0;  // the first that node 0 is told to listen on; 0: any that is free
     std::function<void(double now, const std::string& line)> progress;  // about once a second; may be empty
     std::function<bool()> interrupted;                                  // may be empty
 };
--- a/src/kit/svg.cpp
+++ b/src/kit/svg.cpp
@@ -54,6 +54,7 @@
     }
     if (c.x_from != 0 || c.x_to != 0) least = c.x_from, most = c.x_to;
     if (!(most > least)) least = std::isfinite(least) ? least : 0, most = least + 1;
+    if (c.log_x && least <= 0) least = most / 10;  // nothing to show: an axis all the same
     f.x0 = least;
     f.x1 = most;
     f.y1 = c.y_top > 0 ? c.y_top : top > 0 ? top * 1.05 : 1;
--- /dev/null
+++ b/tests/cli_test.cpp
@@ -0,0 +1,135 @@
+// The program as a user starts it: its exit codes, what it says of wrong use, and an interrupted rehearsal.
+#include <gtest/gtest.h>
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <thread>
+
+#include "conn.h"
+#include "scripted_peer.h"
+
+namespace {
+
+struct Ran {
+    int code = -1;
+    std::string said;
+};
+
+Ran run(const std::string& arguments) {
+    Ran r;
+    FILE* pipe = popen(("unset GW_CONFIG; " BROOKRELAY_PROGRAM " " + arguments + " 2>&1").c_str(), "r");
+    char room[4096];
+    while (std::fgets(room, sizeof room, pipe) != nullptr) r.said += room;
+    r.code = WEXITSTATUS(pclose(pipe));
+    return r;
+}
+
+std::string content(const std::string& path) {
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+std::string folder(const std::string& name) {
+    const std::string path = testing::TempDir() + "cli-" + std::to_string(getpid()) + "-" + name;
+    std::filesystem::create_directories(path);
+    return path;
+}
+
+TEST(CommandLine, SaysWhatIsWrongByItsExitCode) {
+    const std::string root = BROOKRELAY_ROOT;
+    const std::string bad = folder("files") + "/bad.toml";
+    std::ofstream(bad) << "[lgo]\n";
+    const struct {
+        std::string arguments;
+        int code;
+        const char* said;
+    } cases[] = {
+        {"--version", 0, "brookrelay "},
+        {"--help", 0, "rehearse"},
+        {"serve --help", 0, "--operator"},
+        {"rehearse --help", 0, "--seeds"},
+        {"rehearse load --help", 0, "--clients"},
+        {"check --help", 0, "FILE"},
+        {"", 2, "GW_CONFIG is not set"},
+        {"serve", 2, "GW_CONFIG is not set"},
+        {"serve --config /no/such/file.json", 2, "cannot read the file"},
+        {"serve --log-format xml", 2, "--log-format"},
+        {"dance", 2, "dance"},
+        {"check", 2, "FILE is required"},
+        {"check " + bad, 2, "did you mean 'log'?"},
+        {"check " + root + "/README.md", 2, "expected a .json file"},
+        {"check " + root + "/deploy/example.json", 0, "a station's file"},
+        {"check " + root + "/deploy/operator.toml", 0, "the operators' own file"},
+        {"check " + root + "/scenarios/festival.toml", 0, "a scenario"},
+        {"rehearse nowhere", 2, "there is no scenario 'nowhere'"},
+        {"rehearse festival --seeds x", 2, "expected seeds"},
+        {"rehearse festival --set day.lenght=1", 2, "did you mean 'length'?"},
+    };
+    for (const auto& c : cases) {
+        const Ran r = run(c.arguments);
+        EXPECT_EQ(r.code, c.code) << c.arguments << "\n" << r.said;
+        EXPECT_NE(r.said.find(c.said), std::string::npos) << c.arguments << "\n" << r.said;
+    }
+}
+
+TEST(CommandLine, AnInterruptedRehearsalLeavesAReportAndNoDaemon) {
+    const std::string out = folder("interrupted");
+    const pid_t child = fork();
+    if (child == 0) {
+        execl(BROOKRELAY_PROGRAM, BROOKRELAY_PROGRAM, "rehearse", "festival", "--quiet", "--out", out.c_str(), nullptr);
+        _exit(127);
+    }
+    // Each node serves: the daemons stand, and the day is about to begin.
+    for (int i = 0; i < 1000 && content(out + "/n1.log").find("serves on") == std::string::npos; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    const std::string log = content(out + "/n1.log");
+    ASSERT_NE(log.find("serves on"), std::string::npos);
+    kill(child, SIGINT);
+    int status = 0;
+    waitpid(child, &status, 0);
+    EXPECT_EQ(WEXITSTATUS(status), 1);
+    EXPECT_NE(content(out + "/report.json").find("\"interrupted\": true"), std::string::npos);
+    EXPECT_NE(content(out + "/report.html").find("Interrupted after"), std::string::npos);
+    const std::size_t at = log.find("serves on ") + 10, colon = log.find(':', at);
+    EXPECT_FALSE(brookrelay::kit::Line(log.substr(at, colon - at), std::stoi(log.substr(colon + 1))).up());
+}
+
+TEST(CommandLine, LogsOneObjectALine) {
+    const std::string out = folder("json");
+    std::ofstream(out + "/operator.toml") << "[log]\nformat = \"json\"\n";
+    int port = 0;
+    close(brookrelay::kit::bound_socket(port));
+    const std::string listen = brookrelay::kit::own_loopback() + ":" + std::to_string(port);
+    std::string station = content(BROOKRELAY_ROOT "/deploy/example.json");
+    station.replace(station.find("127.0.0.1:11311"), 15, listen);
+    std::ofstream(out + "/station.json") << station;
+    const pid_t child = fork();
+    if (child == 0) {
+        std::freopen((out + "/log").c_str(), "w", stderr);
+        execl(BROOKRELAY_PROGRAM, BROOKRELAY_PROGRAM, "serve", "--config", (out + "/station.json").c_str(), "--operator",
+              (out + "/operator.toml").c_str(), nullptr);
+        _exit(127);
+    }
+    for (int i = 0; i < 1000 && content(out + "/log").find("\"event\":\"serves\"") == std::string::npos; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    kill(child, SIGTERM);
+    int status = 0;
+    waitpid(child, &status, 0);
+    EXPECT_EQ(WEXITSTATUS(status), 0);
+    const std::string log = content(out + "/log");
+    const std::string serves = R"("node":"n0","topic":"node","event":"serves","text":"serves on )" + listen + "\"}";
+    EXPECT_NE(log.find(serves), std::string::npos) << log;
+    EXPECT_NE(log.find(R"("event":"ends")"), std::string::npos) << log;
+}
+
+}  // namespace
--- a/tests/kit_test.cpp
+++ b/tests/kit_test.cpp
@@ -3,10 +3,12 @@
 // judged by are counts and rules, never how fast the machine is.
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -14,10 +16,12 @@
 #include <string>
 #include <thread>
 
+#include "experiment.h"
 #include "histogram.h"
 #include "rehearsal.h"
 #include "report.h"
 #include "schedule.h"
+#include "scripted_peer.h"
 #include "server_model.h"
 #include "wire.h"
 
@@ -124,6 +128,59 @@
     EXPECT_FALSE(read_id(id_text(8, 41), 7, inv));
 }
 
+// ---- experiments ----------------------------------------------------------------------------------------
+
+TEST(Experiment, ReadsSweepsAndSeeds) {
+    EXPECT_EQ(read_sweep("a.b=1,2").values, (std::vector<std::string>{"1", "2"}));
+    EXPECT_EQ(read_sweep("c=[[\"0s\", 1],[\"1s\", 2]],[]").values.size(), 2U);
+    EXPECT_EQ(read_sweep("c=\"a,b\"").values.size(), 1U);
+    EXPECT_THROW((void)read_sweep("nothing"), std::invalid_argument);
+    EXPECT_EQ(read_seeds("1..3,9"), (std::vector<std::uint64_t>{1, 2, 3, 9}));
+    for (const char* wrong : {"", "x", "3..1", "1..", "1-3", "1..99999999"}) {
+        EXPECT_THROW((void)read_seeds(wrong), std::invalid_argument) << wrong;
+    }
+}
+
+TEST(Experiment, PlaysDaemonsNextToOneAnotherAndPairsThem) {
+    ExperimentPlan plan;
+    plan.daemons = {"a", "b"};
+    plan.seeds = {4, 5, 6};
+    plan.sweeps = {{"x", {"1", "2"}}, {"fixed", {"7"}}};
+    std::vector<Cell> cells = cells_of(plan);
+    ASSERT_EQ(cells.size(), 12U);
+    EXPECT_EQ(cells[0].seed, cells[1].seed);
+    EXPECT_NE(cells[0].daemon, cells[1].daemon);
+    EXPECT_EQ(cells[0].setting, "x=1");
+    EXPECT_EQ(cells[0].sets, (std::vector<std::string>{"x=1", "fixed=7"}));
+    for (Cell& c : cells) {
+        c.measures.played = true;
+        // Seeds differ far more than the daemons; only pairs can tell those apart.
+        c.measures.whole = 0.1 * static_cast<double>(c.seed) + (c.daemon == 1 ? 0.01 : 0) +
+                           (c.daemon == 1 && c.seed == 5 ? 0.001 : 0);
+    }
+    const std::vector<Paired> pairs = paired(cells, 2);
+    EXPECT_EQ(pairs.size(), 2 * all_measures().size());
+    EXPECT_NEAR(pairs[0].mean, 0.01033, 1e-4);
+    EXPECT_NEAR(pairs[0].half_width, 4.303 * 0.000577 / std::sqrt(3.0), 1e-5);
+    EXPECT_TRUE(pairs[0].told_apart());
+    EXPECT_FALSE(pairs[1].told_apart());
+    // A pair of which one day was not played is none.
+    cells[0].measures.played = false;
+    EXPECT_EQ(paired(cells, 2)[0].first.size(), 2U);
+}
+
+// What a day that ended before it began leaves must be drawn as well.
+TEST(Report, DrawsADayOfNothing) {
+    DayPlan plan;
+    plan.scenario.name = "nothing";
+    plan.scenario.operations.resize(1);
+    DayResult result;
+    result.latencies.resize(1);
+    EXPECT_NE(report_html({}, plan, result).find("</html>"), std::string::npos);
+    result.failed = "no daemon";
+    EXPECT_NE(report_html({}, plan, result).find("no daemon"), std::string::npos);
+}
+
 // ---- days -----------------------------------------------------------------------------------------------
 
 Scenario small_day(double length = 3) {
@@ -372,8 +429,22 @@
     EXPECT_NE(play(small_day(), "/no/such/program").result.failed.find("exit code 127"), std::string::npos);
 }
 
+TEST(Rehearsal, APortThatIsTakenIsLeftToWhoHasIt) {
+    int taken = 0;
+    const int holder = bound_socket(taken);
+    listen(holder, 1);
+    Played p;
+    p.plan.scenario = small_day(1);
+    p.plan.program = BROOKRELAY_PROGRAM;
+    p.plan.folder = folder_for("taken");
+    p.plan.first_port = static_cast<unsigned short>(taken);
+    p.result = play_day(p.plan);
+    close(holder);
+    EXPECT_EQ(p.result.failed, "");
+    EXPECT_GT(p.result.verdict.succeeded, 100U);
+}
+
 TEST(Rehearsal, TwoSideBySideDoNotMeet) {
-    std::string other;
     const pid_t child = fork();
     if (child == 0) {
         const Played p = play(small_day(2));
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -73,7 +73,7 @@
         int port = 0;
         close(bound_socket(port));
         port_ = port;
-        daemon_ = std::make_unique<Daemon>(Daemon::Place{BROOKRELAY_PROGRAM, "/tmp", next_name(), "", -1});
+        daemon_ = std::make_unique<Daemon>(Daemon::Place{BROOKRELAY_PROGRAM, "/tmp", next_name(), -1});
         std::string hosts = around.aside ? entry("origin", origin, "SERVING") : "";
         for (ScriptedPeer& c : caches) hosts += (hosts.empty() ? "" : ",") + entry(name(c), c, "SERVING");
         std::ostringstream told;
