--- a/src/audit/auditor.cpp
+++ b/src/audit/auditor.cpp
@@ -152,7 +152,8 @@
     }
     close(inv, now, Close::lost);
     ++verdict_.unanswered;
-    find(1, inv, now, now, "the node ended the connection with no whole answer", false);
+    // A watcher that is late may have left a new connection without a word until the node let it go.
+    find(1, inv, now, v.asked_at, "the node ended the connection with no whole answer");
 }
 
 void Auditor::gave_up(double now, int inv) {
--- a/tests/audit_test.cpp
+++ b/tests/audit_test.cpp
@@ -465,6 +465,12 @@
         EXPECT_EQ(v.findings.size(), c.is_void ? 0U : 1U);
         EXPECT_EQ(v.set_aside.size(), c.is_void ? 1U : 0U);
     }
+    // A connection that was left without a word for long is let go by any node.
+    Day unsaid;
+    unsaid.ask(1, 0, kRead);
+    unsaid.judge.late(3.5, 2.4);
+    unsaid.judge.connection_ended(3.5, 0);
+    EXPECT_TRUE(unsaid.judge.finish(1000).void_run);
     // What no clock decides stays broken.
     Day twice;
     twice.fine(1, 0);
