--- a/src/config/scenario.cpp
+++ b/src/config/scenario.cpp
@@ -15,6 +15,7 @@
 constexpr int kServersMost = 400;  // and nodes: what one machine's loopback can play at all
 constexpr int kNodesMost = 64;
 constexpr double kRateMost = 200000;
+constexpr double kArrivalsMost = 5e6;  // of a day: each is kept until the day is judged
 
 enum class Who { nobody, servers, tenants, node };
 struct TroubleRow {
@@ -192,6 +193,12 @@
         }
     }
     if (!s.operations.empty() && share <= 0) root.complain("operation", "expected a share above 0 in one of them");
+    double most = s.clients.curve.empty() ? 1 : 0;
+    for (const auto& [time, value] : s.clients.curve) most = std::max(most, value);
+    if (s.clients.rate * most * s.length > kArrivalsMost) {
+        root.complain("clients", "expected no more than 5000000 arrivals in a day, found up to " +
+                                     std::to_string(std::llround(s.clients.rate * most * s.length)));
+    }
     if (s.warm_within > 0) {
         for (const ServerKind& k : s.kinds) {
             if (k.warm_after > s.warm_within) {
--- a/src/kit/conn.cpp
+++ b/src/kit/conn.cpp
@@ -11,6 +11,7 @@
 namespace brookrelay::kit {
 namespace {
 constexpr int kBacklog = 1024;
+constexpr std::size_t kUnreadMost = 4 << 20;  // bytes that make no message: nobody here sends or is sent so much
 constexpr int kFillers = 4;  // dials that fill a queue of none
 }  // namespace
 
@@ -50,7 +51,7 @@
             if (self->handlers_.input) self->handlers_.input(*self);
             if (self->closed_) return;
         }
-        if (bad) return self->broke();
+        if (bad || self->input().size() > kUnreadMost) return self->broke();
         self->read();
     });
 }
--- a/tests/files_test.cpp
+++ b/tests/files_test.cpp
@@ -105,6 +105,8 @@
         {"client_timeout = \"1s\"", "client_timeout = \"1s\"\nlatency_objective = \"2s\"",
          "F:10: operation[0].latency_objective: expected no more than client_timeout (1s), found 2s"},
         {"client_timeout = \"1s\"", "repeat = \"deduplicated\"", "F:7: operation[0].dedup_window: is needed"},
+        {"[[tenant]]", "[clients]\nrate = 200000\ncurve = [[\"0s\", 9.0]]\n[[tenant]]",
+         "F:10: clients: expected no more than 5000000 arrivals in a day, found up to 36000000"},
         {"[[operation]]", "[operation]", "F:7: operation: expected entries [[operation]], found a table"},
         {"name = \"read\"", "name = \"a b\"", "F:7: operation: expected a name without blanks"},
     };
--- a/tests/kit_test.cpp
+++ b/tests/kit_test.cpp
@@ -354,6 +354,34 @@
                [](const Played& p) { return p.result.verdict.seconds[1].asked > 1.5 * p.result.verdict.seconds[0].asked; }}),
     [](const auto& one) { return one.param.name; });
 
+TEST(Rehearsal, NewsThatDiscoveryKeepsBackDoesNotReachTheDaemon) {
+    Scenario s = small_day(4);
+    s.troubles = {trouble(TroubleKind::discovery_stale, 0.2, 2.5), trouble(TroubleKind::drain, 0.4, 0, {"box-3"})};
+    const Played p = play(s);
+    ASSERT_EQ(p.result.failed, "");
+    EXPECT_TRUE(p.result.verdict.findings.empty()) << summary_text(p.plan, p.result);
+    EXPECT_GT(forwards(p, 2, 1), 0);  // it drains, and nobody has been told
+    EXPECT_EQ(forwards(p, 2, 3), 0);
+}
+
+TEST(Rehearsal, ManyTroublesAtOnceBreakNoRule) {
+    Scenario s = small_day(6);
+    s.nodes = 2;
+    s.kinds[0].count = 5;
+    s.troubles = {trouble(TroubleKind::silent, 1, 2, {"box-1"}), trouble(TroubleKind::cold_return, 1.5, 0, {"box-2"}),
+                  trouble(TroubleKind::void_copies, 2, 0), with(trouble(TroubleKind::origin_slow, 2, 2), [](Trouble& x) { x.factor = 5; }),
+                  with(trouble(TroubleKind::hot_key, 2.2, 1), [](Trouble& x) { x.part = 0.4; }),
+                  trouble(TroubleKind::discovery_down, 1.2, 2), trouble(TroubleKind::node_kill, 2.5, 0.5),
+                  trouble(TroubleKind::spoilt, 3, 1, {"box-3"}), with(trouble(TroubleKind::tricklers, 1, 4), [](Trouble& x) { x.node = 1; })};
+    const Played p = play(s);
+    ASSERT_EQ(p.result.failed, "");
+    EXPECT_TRUE(p.result.verdict.findings.empty()) << summary_text(p.plan, p.result);
+    EXPECT_EQ(p.result.crashes, 0);
+    EXPECT_TRUE(marked(p, "node 0 serves again"));
+    // By its last second the day has come back by itself.
+    EXPECT_GT(p.result.verdict.seconds.back().part(), 0.9) << summary_text(p.plan, p.result);
+}
+
 // ---- bad daemons ----------------------------------------------------------------------------------------
 
 struct Bad {
