--- a/src/kit/clients.cpp
+++ b/src/kit/clients.cpp
@@ -35,7 +35,12 @@
       arrivals_(world.io),
       latencies_(world.scenario.operations.size()) {}
 
-Crowd::~Crowd() = default;
+// A line and its connection hold one another for as long as the connection may bring news.
+Crowd::~Crowd() {
+    for (const Node& n : nodes_) {
+        for (const std::shared_ptr<Line>& line : n.all) line->conn.reset();
+    }
+}
 
 void Crowd::node_at(int node, const Tcp::endpoint& where) { nodes_[static_cast<std::size_t>(node)].where = where; }
 
--- a/src/kit/conn.cpp
+++ b/src/kit/conn.cpp
@@ -4,9 +4,8 @@
 #include <unistd.h>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <thread>
+#include <utility>
 
 namespace brookrelay::kit {
 namespace {
@@ -32,7 +31,7 @@
         Code ignored;
         conn->socket_.set_option(Tcp::no_delay(true), ignored);
         conn->up_ = true;
-        if (conn->handlers_.up) conn->handlers_.up(*conn);
+        conn->call(conn->handlers_.up);
         conn->read();
         conn->flush();
     });
@@ -48,7 +47,7 @@
         if (n > 0) {
             if (self->input().empty()) self->first_byte_at_ = self->clock_.now();
             self->in_.append(self->room_.data(), n);
-            if (self->handlers_.input) self->handlers_.input(*self);
+            self->call(self->handlers_.input);
             if (self->closed_) return;
         }
         if (bad || self->input().size() > kUnreadMost) return self->broke();
@@ -101,7 +100,7 @@
 
 void Conn::broke() {
     if (closed_) return;
-    const auto ended = std::move(handlers_.ended);
+    const auto ended = std::exchange(handlers_.ended, nullptr);
     const Ptr self = shared_from_this();
     close();
     if (ended) ended(*this);
@@ -112,8 +111,14 @@
     closed_ = true;
     Code ignored;
     socket_.close(ignored);
-    // Its handlers may hold it; they go from the loop, as one of them may be running now.
-    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->handlers_ = {}; });
+    if (calling_ == 0) handlers_ = {};
+}
+
+void Conn::call(std::function<void(Conn&)>& handler) {
+    if (!handler) return;
+    ++calling_;
+    handler(*this);
+    if (--calling_ == 0 && closed_) handlers_ = {};
 }
 
 void Conn::reset() {
--- a/src/kit/conn.h
+++ b/src/kit/conn.h
@@ -66,6 +66,7 @@
     void read();
     void flush();
     void broke();
+    void call(std::function<void(Conn&)>& handler);
 
     Tcp::socket socket_;
     const Clock& clock_;
@@ -73,6 +74,7 @@
     std::string in_, out_, going_;
     std::size_t taken_ = 0;
     double first_byte_at_ = 0;
+    int calling_ = 0;  // its handlers hold whoever holds it: they go with its end, but not from under one that runs
     bool up_ = false, closed_ = false, paused_ = false, reading_ = false;
     std::array<char, 16384> room_{};
 };
