A swept number stands along the axis of an experiment's pictures

Need: settings stood side by side whatever their distance. Change: where one number alone is swept the axis is its value, else the order as before.

--- a/src/kit/experiment.cpp
+++ b/src/kit/experiment.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <boost/math/distributions/students_t.hpp>
+#include <charconv>
 #include <cmath>
 #include <csignal>
 #include <cstdio>
@@ -31,12 +32,32 @@
     return grand + "/" + parent + "/" + path.filename().string();
 }
 
+bool read_number(const std::string& text, double& value) {
+    const char* end = text.data() + text.size();
+    const auto [at, error] = std::from_chars(text.data(), end, value);
+    return error == std::errc() && at == end;
+}
+
 std::string number_text(double v, const char* how = "%.4f") {
     char room[32];
     std::snprintf(room, sizeof room, how, v);
     return room;
 }
 
+// Where one number alone was swept, the settings stand along the axis by their value; else there is none.
+std::vector<double> positions(const ExperimentPlan& plan, const std::vector<std::string>& settings) {
+    std::size_t swept = 0;
+    for (const Sweep& s : plan.sweeps) swept += s.values.size() > 1 ? 1 : 0;
+    std::vector<double> values;
+    for (const std::string& s : settings) {
+        double value = 0;
+        const std::string digits = s.substr(s.find('=') + 1);
+        if (swept != 1 || !read_number(digits, value) || (!values.empty() && value <= values.back())) return {};
+        values.push_back(value);
+    }
+    return values;
+}
+
 std::string csv_word(const std::string& text) {
     std::string out = "\"";
     for (const char c : text) out += c == '"' ? "\"\"" : std::string(1, c);
@@ -313,10 +334,12 @@
         if (std::find(settings.begin(), settings.end(), c.setting) == settings.end()) settings.push_back(c.setting);
     }
     const bool swept = settings.size() > 1;
+    const std::vector<double> along = positions(plan, settings);
+    const bool by_value = !along.empty();
     for (const Measure& m : all_measures()) {
         Chart chart;
         chart.title = std::string(m.name) + (*m.unit == '\0' ? "" : std::string(" (") + m.unit + ")");
-        chart.x_label = swept ? "setting, in the order of the table below" : "seed, in the order played";
+        chart.x_label = by_value ? settings.front().substr(0, settings.front().find('=')) : swept ? "setting, in the order of the table below" : "seed, in the order played";
         chart.y_label = m.name;
         for (std::size_t d = 0; d < plan.daemons.size(); ++d) {
             Curve2d curve{short_name(plan.daemons[d])};
@@ -333,7 +356,7 @@
                         ++n;
                     }
                     if (n == 0) continue;
-                    curve.points.emplace_back(static_cast<double>(s + 1), sum / n);
+                    curve.points.emplace_back(by_value ? along[s] : static_cast<double>(s + 1), sum / n);
                     curve.band.emplace_back(least, most);
                 }
             } else {
@@ -346,7 +369,7 @@
         }
         html += svg_text(chart);
     }
-    if (swept) {
+    if (swept && !by_value) {
         html += "<table><tr><th></th><th>setting</th></tr>";
         for (std::size_t s = 0; s < settings.size(); ++s) {
             html += "<tr><td>" + std::to_string(s + 1) + "</td><td>" + html_escaped(settings[s]) + "</td></tr>";
