--- /dev/null
+++ b/src/kit/coordinator.cpp
@@ -0,0 +1,358 @@
+#include "coordinator.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <limits>
+#include <utility>
+
+#include "jute.h"
+
+namespace brookrelay::kit {
+namespace {
+
+constexpr double kTimeoutLeast = 0.1, kTimeoutMost = 40;  // s that a session may ask for
+constexpr std::int32_t kWatchXid = -1, kPingXid = -2, kAuthXid = -4;
+constexpr std::int32_t kConnected = 3;  // the state that an event bears
+constexpr std::size_t kNodesMost = 100000;
+
+std::int64_t ms(double seconds) { return static_cast<std::int64_t>(seconds * 1e3); }
+
+}  // namespace
+
+Coordinator::Coordinator(Out out) : out_(std::move(out)) { nodes_["/"]; }
+
+std::string Coordinator::parent_of(const std::string& path) {
+    const std::size_t slash = path.rfind('/');
+    return slash == 0 ? "/" : path.substr(0, slash);
+}
+
+bool Coordinator::is_path(const std::string& path) {
+    if (path.empty() || path.front() != '/') return false;
+    return path.size() == 1 || (path.back() != '/' && path.find("//") == std::string::npos &&
+                                path.find('\0') == std::string::npos);
+}
+
+std::string Coordinator::stat_of(const Node& n) const {
+    JuteWriter out;
+    out.long_number(n.created).long_number(n.modified).long_number(ms(n.created_at)).long_number(ms(n.modified_at));
+    out.number(n.version).number(n.children_version).number(0).long_number(n.owner);
+    out.number(static_cast<std::int32_t>(n.data.size())).number(static_cast<std::int32_t>(n.children.size()));
+    out.long_number(n.children_modified);
+    return out.payload();
+}
+
+// ---- sessions -------------------------------------------------------------------------------------------
+
+std::int64_t Coordinator::open_session(double now, double timeout) {
+    const std::int64_t id = ++last_session_;
+    Session& s = sessions_[id];
+    s.timeout = std::clamp(timeout, kTimeoutLeast, kTimeoutMost);
+    s.until = now + s.timeout;
+    char password[17];
+    std::snprintf(password, sizeof password, "%016llx", static_cast<unsigned long long>(id) * 0x9e3779b97f4a7c15ULL);
+    s.password = password;
+    ++order_;
+    return id;
+}
+
+void Coordinator::touch(double now, std::int64_t session) {
+    const auto found = sessions_.find(session);
+    if (found != sessions_.end()) found->second.until = now + found->second.timeout;
+}
+
+void Coordinator::expire(std::int64_t session) {
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end()) return;
+    const Session gone = std::move(found->second);
+    sessions_.erase(found);
+    ++order_;
+    for (const std::string& path : gone.owns) (void)remove(path);
+    if (gone.connection == 0) return;
+    session_of_.erase(gone.connection);
+    forget_watches(gone.connection);
+    out_.hang_up(gone.connection);
+}
+
+void Coordinator::tick(double now) {
+    std::vector<std::int64_t> over;
+    for (const auto& [id, s] : sessions_) {
+        if (now >= s.until) over.push_back(id);
+    }
+    for (const std::int64_t id : over) expire(id);
+}
+
+double Coordinator::next_at() const {
+    double next = std::numeric_limits<double>::infinity();
+    for (const auto& [id, s] : sessions_) next = std::min(next, s.until);
+    return next;
+}
+
+void Coordinator::ended(std::uint64_t connection) {
+    forget_watches(connection);
+    const auto found = session_of_.find(connection);
+    if (found == session_of_.end()) return;
+    sessions_[found->second].connection = 0;
+    session_of_.erase(found);
+}
+
+// ---- the tree -------------------------------------------------------------------------------------------
+
+CoordinatorError Coordinator::create(double now, std::int64_t session, const std::string& wished,
+                                     const std::string& data, bool ephemeral, bool sequential, std::string* made) {
+    // A sequential one may end in a slash: its name is the number alone.
+    if (!is_path(sequential ? wished + "0" : wished) || wished == "/") return CoordinatorError::bad_arguments;
+    const std::string above = parent_of(wished);
+    const auto parent = nodes_.find(above);
+    if (parent == nodes_.end()) return CoordinatorError::no_node;
+    if (parent->second.owner != 0) return CoordinatorError::no_children_for_ephemerals;
+    if (ephemeral && !sessions_.contains(session)) return CoordinatorError::session_expired;
+    if (nodes_.size() >= kNodesMost) return CoordinatorError::bad_arguments;
+    std::string path = wished;
+    if (sequential) {
+        char number[16];
+        std::snprintf(number, sizeof number, "%010u", parent->second.next_number++);
+        path += number;
+    }
+    if (nodes_.contains(path)) return CoordinatorError::node_exists;
+    ++order_;
+    Node& n = nodes_[path];
+    n.data = data;
+    n.created = n.modified = n.children_modified = order_;
+    n.created_at = n.modified_at = now;
+    n.owner = ephemeral ? session : 0;
+    parent->second.children.insert(path.substr(path.rfind('/') + 1));
+    parent->second.children_modified = order_;
+    ++parent->second.children_version;
+    if (ephemeral) sessions_[session].owns.insert(path);
+    if (made != nullptr) *made = path;
+    fire(exist_watches_, path, CoordinatorEvent::created);
+    fire(child_watches_, above, CoordinatorEvent::children);
+    return CoordinatorError::none;
+}
+
+CoordinatorError Coordinator::remove(const std::string& path, std::int32_t version) {
+    const auto found = nodes_.find(path);
+    if (found == nodes_.end() || path == "/") return CoordinatorError::no_node;
+    if (version >= 0 && version != found->second.version) return CoordinatorError::bad_version;
+    if (!found->second.children.empty()) return CoordinatorError::not_empty;
+    ++order_;
+    const auto owner = sessions_.find(found->second.owner);
+    if (owner != sessions_.end()) owner->second.owns.erase(path);
+    nodes_.erase(found);
+    const std::string above = parent_of(path);
+    Node& parent = nodes_[above];
+    parent.children.erase(path.substr(path.rfind('/') + 1));
+    parent.children_modified = order_;
+    ++parent.children_version;
+    fire(data_watches_, path, CoordinatorEvent::removed);
+    fire(exist_watches_, path, CoordinatorEvent::removed);
+    fire(child_watches_, path, CoordinatorEvent::removed);
+    fire(child_watches_, above, CoordinatorEvent::children);
+    return CoordinatorError::none;
+}
+
+CoordinatorError Coordinator::set(double now, const std::string& path, const std::string& data, std::int32_t version) {
+    const auto found = nodes_.find(path);
+    if (found == nodes_.end()) return CoordinatorError::no_node;
+    if (version >= 0 && version != found->second.version) return CoordinatorError::bad_version;
+    Node& n = found->second;
+    n.data = data;
+    n.modified = ++order_;
+    n.modified_at = now;
+    ++n.version;
+    fire(data_watches_, path, CoordinatorEvent::changed);
+    fire(exist_watches_, path, CoordinatorEvent::changed);
+    return CoordinatorError::none;
+}
+
+std::vector<std::string> Coordinator::children(const std::string& path) const {
+    const auto found = nodes_.find(path);
+    if (found == nodes_.end()) return {};
+    return {found->second.children.begin(), found->second.children.end()};
+}
+
+// ---- watches --------------------------------------------------------------------------------------------
+
+// Each fires once, and before any answer that shows what it tells of: so the protocol promises.
+void Coordinator::fire(Watches& watches, const std::string& path, CoordinatorEvent event) {
+    const auto found = watches.find(path);
+    if (found == watches.end()) return;
+    const std::set<std::uint64_t> who = std::move(found->second);
+    watches.erase(found);
+    JuteWriter out;
+    out.number(kWatchXid).long_number(-1).number(0);
+    out.number(static_cast<std::int32_t>(event)).number(kConnected).text(path);
+    for (const std::uint64_t connection : who) out_.send(connection, out.frame());
+}
+
+void Coordinator::forget_watches(std::uint64_t connection) {
+    for (Watches* watches : {&data_watches_, &exist_watches_, &child_watches_}) {
+        for (auto at = watches->begin(); at != watches->end();) {
+            at->second.erase(connection);
+            at = at->second.empty() ? watches->erase(at) : std::next(at);
+        }
+    }
+}
+
+std::size_t Coordinator::watches() const {
+    std::size_t all = 0;
+    for (const Watches* watches : {&data_watches_, &exist_watches_, &child_watches_}) {
+        for (const auto& [path, who] : *watches) all += who.size();
+    }
+    return all;
+}
+
+// ---- the wire -------------------------------------------------------------------------------------------
+
+void Coordinator::received(double now, std::uint64_t connection, std::string_view payload) {
+    tick(now);
+    const auto found = session_of_.find(connection);
+    if (found == session_of_.end()) return connect(now, connection, payload);
+    touch(now, found->second);
+    call(now, connection, found->second, payload);
+}
+
+void Coordinator::connect(double now, std::uint64_t connection, std::string_view payload) {
+    JuteReader in(payload);
+    const std::int32_t protocol = in.number();
+    const std::int64_t seen = in.long_number();
+    const std::int32_t timeout = in.number();
+    const std::int64_t wished = in.long_number();
+    const std::string password = in.text();
+    // A client that has seen more than this one must ask another: it would go back in time here.
+    if (!in.sound() || protocol != 0 || timeout < 0 || seen > order_) return out_.hang_up(connection);
+    std::int64_t session = wished;
+    const auto known = sessions_.find(wished);
+    const bool resumes = known != sessions_.end() && known->second.password == password;
+    if (wished == 0) session = open_session(now, timeout / 1e3);
+    JuteWriter out;
+    if (wished != 0 && !resumes) {
+        // Expired: a time-out and an id of none say so, and the connection ends.
+        out.number(0).number(0).long_number(0).text(std::string(16, '\0')).flag(false);
+        out_.send(connection, out.frame());
+        return out_.hang_up(connection);
+    }
+    Session& s = sessions_[session];
+    if (s.connection != 0 && s.connection != connection) {
+        // Moved: the old connection is of no use any more.
+        const std::uint64_t old = s.connection;
+        ended(old);
+        out_.hang_up(old);
+    }
+    s.connection = connection;
+    s.until = now + s.timeout;
+    session_of_[connection] = session;
+    out.number(0).number(static_cast<std::int32_t>(s.timeout * 1e3)).long_number(session).text(s.password).flag(false);
+    out_.send(connection, out.frame());
+}
+
+void Coordinator::call(double now, std::uint64_t connection, std::int64_t session, std::string_view payload) {
+    JuteReader in(payload);
+    const std::int32_t xid = in.number();
+    const auto type = static_cast<CoordinatorCall>(in.number());
+    JuteWriter body;
+    CoordinatorError error = CoordinatorError::none;
+    std::string stat;
+    switch (type) {
+        case CoordinatorCall::ping:
+        case CoordinatorCall::auth: break;
+        case CoordinatorCall::sync: body.text(in.text()); break;
+        case CoordinatorCall::create: {
+            const std::string path = in.text(), data = in.text();
+            const std::int32_t lists = in.number();
+            for (std::int32_t i = 0; i < lists && in.sound(); ++i) (void)in.number(), (void)in.text(), (void)in.text();
+            const std::int32_t flags = in.number();
+            std::string made;
+            if (in.sound()) error = create(now, session, path, data, (flags & 1) != 0, (flags & 2) != 0, &made);
+            body.text(made);
+            break;
+        }
+        case CoordinatorCall::remove: {
+            const std::string path = in.text();
+            const std::int32_t version = in.number();
+            if (in.sound()) error = remove(path, version);
+            break;
+        }
+        case CoordinatorCall::set_data: {
+            const std::string path = in.text(), data = in.text();
+            const std::int32_t version = in.number();
+            if (in.sound()) error = set(now, path, data, version);
+            if (nodes_.contains(path)) stat = stat_of(nodes_[path]);
+            break;
+        }
+        case CoordinatorCall::exists:
+        case CoordinatorCall::get_data:
+        case CoordinatorCall::get_children:
+        case CoordinatorCall::get_children2: {
+            const std::string path = in.text();
+            const bool watch = in.flag();
+            if (!in.sound()) break;
+            const auto found = nodes_.find(path);
+            const bool listed = type == CoordinatorCall::get_children || type == CoordinatorCall::get_children2;
+            if (found == nodes_.end()) {
+                error = CoordinatorError::no_node;
+                if (watch && type == CoordinatorCall::exists) exist_watches_[path].insert(connection);
+                break;
+            }
+            if (watch) (listed ? child_watches_ : data_watches_)[path].insert(connection);
+            if (type == CoordinatorCall::get_data) body.text(found->second.data);
+            if (listed) body.texts({found->second.children.begin(), found->second.children.end()});
+            if (type != CoordinatorCall::get_children) stat = stat_of(found->second);
+            break;
+        }
+        case CoordinatorCall::set_watches: {
+            const std::int64_t seen = in.long_number();
+            const std::vector<std::string> data = in.texts(), exist = in.texts(), child = in.texts();
+            if (!in.sound()) break;
+            // What has happened since is told at once; the rest is watched from here on.
+            const auto event = [&](const std::string& path, CoordinatorEvent what) {
+                JuteWriter news;
+                news.number(kWatchXid).long_number(-1).number(0);
+                news.number(static_cast<std::int32_t>(what)).number(kConnected).text(path);
+                out_.send(connection, news.frame());
+            };
+            for (const std::string& path : data) {
+                const auto found = nodes_.find(path);
+                if (found == nodes_.end()) {
+                    event(path, CoordinatorEvent::removed);
+                } else if (found->second.modified > seen) {
+                    event(path, CoordinatorEvent::changed);
+                } else {
+                    data_watches_[path].insert(connection);
+                }
+            }
+            for (const std::string& path : exist) {
+                if (nodes_.contains(path)) {
+                    event(path, CoordinatorEvent::created);
+                } else {
+                    exist_watches_[path].insert(connection);
+                }
+            }
+            for (const std::string& path : child) {
+                const auto found = nodes_.find(path);
+                if (found == nodes_.end()) {
+                    event(path, CoordinatorEvent::removed);
+                } else if (found->second.children_modified > seen) {
+                    event(path, CoordinatorEvent::children);
+                } else {
+                    child_watches_[path].insert(connection);
+                }
+            }
+            break;
+        }
+        case CoordinatorCall::close: break;
+        default: error = CoordinatorError::unimplemented;
+    }
+    if (!in.sound()) return out_.hang_up(connection);  // nothing after it can be trusted either
+    JuteWriter head;
+    head.number(type == CoordinatorCall::ping ? kPingXid : type == CoordinatorCall::auth ? kAuthXid : xid);
+    head.long_number(order_).number(static_cast<std::int32_t>(error));
+    std::string whole = head.payload();
+    if (error == CoordinatorError::none) whole += body.payload() + stat;
+    JuteWriter length;
+    length.number(static_cast<std::int32_t>(whole.size()));
+    out_.send(connection, length.payload() + whole);
+    if (type == CoordinatorCall::close) expire(session);
+}
+
+}  // namespace brookrelay::kit
