--- a/src/kit/jute.cpp
+++ b/src/coordination/jute.cpp
@@ -1,6 +1,6 @@
 #include "jute.h"
 
-namespace brookrelay::kit {
+namespace brookrelay {
 namespace {
 
 void put(std::string& out, std::uint64_t value, int bytes) {
@@ -101,4 +101,4 @@
     return whole;
 }
 
-}  // namespace brookrelay::kit
+}  // namespace brookrelay
--- a/src/kit/jute.h
+++ b/src/coordination/jute.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-namespace brookrelay::kit {
+namespace brookrelay {
 
 constexpr std::size_t kFrameMost = 1 << 20;  // the service's own default bound of one message
 
@@ -47,4 +47,4 @@
 // A length that is negative or beyond the bound makes `sound` false.
 std::size_t read_frame(std::string_view in, std::string_view& payload, bool& sound);
 
-}  // namespace brookrelay::kit
+}  // namespace brookrelay
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+using namespace brookrelay;
 using namespace brookrelay::kit;
 
 struct Peer {
--- /dev/null
+++ b/tests/follower_test.cpp
@@ -0,0 +1,218 @@
+// The follower against the stand-in coordinator, without sockets: each step of the clock and each message is the
+// test's. What the decision module would be told is looked at after it.
+#include <gtest/gtest.h>
+
+#include <boost/random/mersenne_twister.hpp>
+#include <cmath>
+#include <deque>
+#include <string>
+
+#include "coordinator.h"
+#include "follower.h"
+#include "jute.h"
+
+namespace {
+
+using namespace brookrelay;
+using kit::Coordinator;
+
+// One follower and one service, and the messages between them, which stay on the way until deliver().
+struct Pair {
+    std::deque<std::string> to_follower;
+    std::uint64_t connection = 0;
+    double now = 0;
+    std::vector<std::string> left_out, hung_up;
+    Coordinator service{{[this](std::uint64_t c, const std::string& frame) {
+                             if (c == connection) to_follower.push_back(frame.substr(4));
+                         },
+                         [](std::uint64_t) {}}};
+    Registrations registrations;
+    Follower follower{"/fleet", 4, registrations,
+                      [](const std::string&, const std::string& data, std::string& why) -> std::optional<Registration> {
+                          if (data == "bad") {
+                              why = "no address";
+                              return std::nullopt;
+                          }
+                          Registration r;
+                          r.address = data;
+                          return r;
+                      },
+                      {[this](const std::string& frame) { service.received(now, connection, frame.substr(4)); },
+                       [this](const char* why) { hung_up.emplace_back(why); },
+                       [this](const std::string& child, const std::string& why) { left_out.push_back(child + ": " + why); }}};
+    std::int64_t owner = 0;
+
+    Pair() {
+        (void)service.create(0, 0, "/fleet", "", false, false);
+        owner = service.open_session(0, 40);
+    }
+    void add(const std::string& name, const std::string& data = "127.0.0.1:1") {
+        EXPECT_EQ(service.create(now, owner, "/fleet/" + name, data, true, false), kit::CoordinatorError::none);
+    }
+    void drop(const std::string& name) { EXPECT_EQ(service.remove("/fleet/" + name), kit::CoordinatorError::none); }
+    void up() {
+        ++connection;
+        to_follower.clear();
+        follower.up(now);
+    }
+    bool deliver_one() {
+        if (to_follower.empty()) return false;
+        const std::string payload = to_follower.front();
+        to_follower.pop_front();
+        follower.received(now, payload);
+        return true;
+    }
+    void deliver() {
+        while (deliver_one()) continue;
+    }
+    std::string told() {
+        std::string all;
+        for (const RegistrationChange& c : registrations.take_changes()) {
+            all += (all.empty() ? "" : " ") + std::string(c.standing == Standing::gone ? "-" : c.fresh ? "+" : "=") + c.who.name;
+        }
+        return all;
+    }
+};
+
+TEST(Follower, ShowsWhoIsThereAndWhoGoes) {
+    Pair p;
+    for (const char* name : {"a", "b", "c", "d"}) p.add(name);
+    p.add("e", "bad");
+    p.up();
+    p.deliver();
+    EXPECT_EQ(p.told(), "+a +b +c +d");
+    EXPECT_EQ(p.left_out, (std::vector<std::string>{"e: no address"}));
+    p.drop("b");
+    // One message is enough to be told: no answer of the service is waited for.
+    EXPECT_TRUE(p.deliver_one());
+    EXPECT_EQ(p.told(), "-b");
+    p.deliver();
+    p.add("f");
+    p.deliver();
+    EXPECT_EQ(p.told(), "+f");
+    // Removed and created again before anything of it is heard.
+    p.drop("a");
+    p.add("a");
+    p.deliver();
+    EXPECT_EQ(p.told(), "+a");
+    // Its data changes while it is being read.
+    (void)p.service.set(p.now, "/fleet/c", "127.0.0.1:2");
+    EXPECT_TRUE(p.deliver_one());
+    (void)p.service.set(p.now, "/fleet/c", "127.0.0.1:3");
+    p.deliver();
+    EXPECT_EQ(p.told(), "=c");
+}
+
+TEST(Follower, SeesWhatHappenedWhileItWasAway) {
+    Pair p;
+    for (const char* name : {"a", "b", "c", "d", "e"}) p.add(name);
+    p.up();
+    p.deliver();
+    (void)p.told();
+    const std::int64_t session = p.follower.session();
+    p.follower.broke(p.now);
+    p.service.ended(p.connection);
+    EXPECT_EQ(p.told(), "");
+    p.drop("a");
+    p.drop("b");
+    p.add("b");
+    p.up();
+    p.deliver();
+    EXPECT_EQ(p.follower.session(), session);
+    EXPECT_EQ(p.told(), "+b -a");
+    // Expired: the first connection learns it, the next one begins anew.
+    p.service.expire(session);
+    p.follower.broke(p.now);
+    p.up();
+    p.deliver();
+    EXPECT_EQ(p.hung_up, (std::vector<std::string>{"the session had expired"}));
+    EXPECT_EQ(p.told(), "");
+    p.up();
+    p.deliver();
+    EXPECT_NE(p.follower.session(), session);
+    EXPECT_TRUE(p.follower.follows());
+    EXPECT_EQ(p.told(), "");
+}
+
+TEST(Follower, PingsAndLeavesASilentService) {
+    Pair p;
+    p.add("a");
+    p.up();
+    p.deliver();
+    for (int i = 0; i < 100; ++i) {
+        p.now = p.follower.next_at();
+        p.follower.tick(p.now);
+        p.deliver();
+        p.service.touch(p.now, p.owner);
+        p.service.tick(p.now);
+    }
+    EXPECT_GT(p.now, 100);  // far beyond its time-out, and it still follows
+    EXPECT_TRUE(p.follower.follows());
+    EXPECT_TRUE(p.hung_up.empty());
+    const double silent_from = p.now;
+    while (p.hung_up.empty()) {
+        p.now = p.follower.next_at();
+        p.follower.tick(p.now);
+    }
+    EXPECT_LE(p.now - silent_from, 4 * 2.0 / 3.0 + 0.01);
+    EXPECT_EQ(p.registrations.standing(), 1U);
+}
+
+// Changes, losses and reconnections at random places between the messages: in the end the picture is the truth.
+TEST(Follower, EndsWithTheTruthWhateverTheOrder) {
+    for (unsigned seed = 1; seed <= 300; ++seed) {
+        SCOPED_TRACE(seed);
+        boost::random::mt19937 chance(seed);
+        Pair p;
+        p.up();
+        for (int step = 0; step < 120; ++step) {
+            p.now += 0.4;
+            p.service.touch(p.now, p.owner);
+            const std::string name = "s" + std::to_string(chance() % 6);
+            switch (chance() % 8) {
+                case 0:
+                case 1:
+                    if (p.service.exists("/fleet/" + name)) p.drop(name); else p.add(name);
+                    break;
+                case 2: (void)p.service.set(p.now, "/fleet/" + name, "127.0.0.1:" + std::to_string(step)); break;
+                case 3:
+                    if (chance() % 4 == 0) {
+                        p.follower.broke(p.now);
+                        p.service.ended(p.connection);
+                        p.up();
+                    }
+                    break;
+                default: (void)p.deliver_one();
+            }
+            p.follower.tick(p.now);
+            if (!p.hung_up.empty()) {
+                p.hung_up.clear();
+                p.service.ended(p.connection);
+                p.up();
+            }
+        }
+        p.deliver();
+        ASSERT_TRUE(p.follower.follows());
+        // Doubts and damping pass with time, and the truth is left.
+        p.registrations.tick(p.now + 100);
+        EXPECT_EQ(p.registrations.standing(), p.service.children("/fleet").size());
+    }
+}
+
+TEST(Follower, SurvivesBytesThatAreNone) {
+    boost::random::mt19937 chance(3);
+    for (int i = 0; i < 3000; ++i) {
+        Pair p;
+        p.add("a");
+        p.up();
+        if (chance() % 2 == 0) p.deliver();
+        std::string bytes(chance() % 80, '\0');
+        for (char& b : bytes) b = static_cast<char>(chance());
+        if (chance() % 2 == 0) bytes = JuteWriter().number(static_cast<std::int32_t>(chance() % 4) - 1).long_number(9).number(0).payload() + bytes;
+        p.follower.received(p.now, bytes);
+        p.deliver();
+        EXPECT_LE(p.registrations.standing(), 1U);
+    }
+}
+
+}  // namespace
