--- /dev/null
+++ b/src/cli/registry.cpp
@@ -0,0 +1,58 @@
+#include "registry.h"
+
+#include <glib-unix.h>
+
+#include <cstdio>
+#include <random>
+
+#include "address.h"
+#include "exit_codes.h"
+#include "json.h"
+#include "net/registry.h"
+#include "registration.h"
+
+namespace brookrelay {
+
+int watch_registry(const RegistryWish& wish) {
+    for (const std::string& address : wish.addresses) {
+        if (parse_address(address)) continue;
+        std::fprintf(stderr, "brookrelay: --address: expected HOST:PORT with a numeric host, found '%s'\n", address.c_str());
+        return kWrongUse;
+    }
+    if (wish.path.size() < 2 || wish.path.front() != '/' || wish.path.back() == '/') {
+        std::fprintf(stderr, "brookrelay: --path: expected a path such as /fleet, found '%s'\n", wish.path.c_str());
+        return kWrongUse;
+    }
+    Log log("registry");
+    Timers timers;
+    const auto read = [](const std::string&, const std::string& data, std::string& why) -> std::optional<Registration> {
+        try {
+            return read_registration(data, {});
+        } catch (const BadInput& bad) {
+            why = bad.what();
+            return std::nullopt;
+        }
+    };
+    std::random_device any;
+    Registry registry(timers, log, wish.addresses, wish.path, wish.session_timeout, any(), read,
+                      [](std::vector<RegistrationChange>&& changes) {
+                          for (const RegistrationChange& c : changes) {
+                              std::printf("%s %s %s\n",
+                                          c.standing == Standing::gone ? "gone" : c.fresh ? "cold" : "ready",
+                                          c.who.name.c_str(), c.who.address.c_str());
+                          }
+                          std::fflush(stdout);
+                      });
+    bool ended = false;
+    const auto end = [](gpointer flag) -> gboolean {
+        *static_cast<bool*>(flag) = true;
+        return G_SOURCE_CONTINUE;
+    };
+    g_unix_signal_add(SIGTERM, end, &ended);
+    g_unix_signal_add(SIGINT, end, &ended);
+    registry.start();
+    while (!ended) g_main_context_iteration(nullptr, TRUE);
+    return kDone;
+}
+
+}  // namespace brookrelay
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 
 #include "cli/check.h"
 #include "cli/exit_codes.h"
+#include "cli/registry.h"
 #include "cli/rehearse.h"
 #include "net/serve.h"
 #include "toml.h"
@@ -76,6 +77,17 @@
     load->add_option("--rounds", load_wish.rounds, "how many times in all")->check(CLI::Range(1, 1000));
     load->add_option("--value-bytes", load_wish.value_bytes, "of each value")->check(CLI::Range(64, 60000));
 
+    brookrelay::RegistryWish registry_wish;
+    CLI::App* registry = app.add_subcommand("registry", "server lists kept as ephemeral nodes");
+    registry->require_subcommand(1);
+    CLI::App* watch = registry->add_subcommand("watch", "print what a daemon would be told, until ended");
+    watch->add_option("--address", registry_wish.addresses, "HOST:PORT of the coordination service; several of an ensemble")
+        ->delimiter(',')
+        ->required();
+    watch->add_option("--path", registry_wish.path, "the path whose children are the registrations")->required();
+    watch->add_option("--session", registry_wish.session_timeout, "the session's time-out in seconds")
+        ->check(CLI::Range(0.1, 60.0));
+
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& said) {
@@ -84,6 +96,7 @@
     }
     try {
         if (check->parsed()) return brookrelay::check_file(to_check);
+        if (watch->parsed()) return brookrelay::watch_registry(registry_wish);
         if (load->parsed()) return brookrelay::measure_load(load_wish);
         if (rehearse->parsed()) return brookrelay::rehearse(wish);
         return serve_with(config, operator_path, log_format);
