--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -1,5 +1,6 @@
 #include "operator.h"
 
+#include "address.h"
 #include "toml.h"
 
 namespace brookrelay {
@@ -12,6 +13,21 @@
             o.json_log = log.word("format", 0, {"human", "json"}) == 1;
             o.log_lines_a_second = static_cast<int>(log.whole("lines_a_second", 10, 1, 100000));
         });
+        root.table("registry", [&](TomlFile::Table& registry) {
+            o.registry_addresses = registry.texts("addresses");
+            for (const std::string& address : o.registry_addresses) {
+                if (!parse_address(address)) {
+                    registry.complain("addresses", "expected HOST:PORT with a numeric host, found '" + address + "'");
+                }
+            }
+            o.registry_path = registry.text("path", "");
+            o.registry_session = registry.duration("session", o.registry_session, 0.1, 60);
+            const std::string& at = o.registry_path;
+            const bool sound = at.size() > 1 && at.front() == '/' && at.back() != '/';
+            if (!at.empty() && !sound) registry.complain("path", "expected a path such as \"/fleet\", found '" + at + "'");
+            if (at.empty() && !o.registry_addresses.empty()) registry.complain("path", "is missing; addresses need it");
+            if (!at.empty() && o.registry_addresses.empty()) registry.complain("addresses", "is missing; path needs it");
+        });
     });
     file.throw_if_wrong();
     return o;
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -3,12 +3,17 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 namespace brookrelay {
 
 struct OperatorFile {
     bool json_log = false;
     int log_lines_a_second = 10;  // for each topic
+    // Where servers register themselves as ephemeral nodes. Empty: the agent's discovery is followed.
+    std::vector<std::string> registry_addresses;
+    std::string registry_path;
+    double registry_session = 4;  // seconds
 };
 
 // Throws BadFile with every complaint, a line each.
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "json.h"
+#include "registration.h"
+
 namespace brookrelay {
 namespace {
 
@@ -42,7 +45,7 @@
 
 }  // namespace
 
-Node::Node(const Station& station, Log& log)
+Node::Node(const Station& station, const OperatorFile& operator_file, Log& log)
     : station_(station),
       log_(log),
       wall_less_monotonic_(static_cast<double>(g_get_real_time()) / 1e6 - monotonic()),
@@ -63,12 +66,29 @@
                   listed(now, told.whole ? ListKind::whole : ListKind::change, told);
               });
           },
-          [this] { inbox_.emplace_back([this](double now) { balancer_->list_failed(now); }); }) {}
+          [this] { inbox_.emplace_back([this](double now) { balancer_->list_failed(now); }); }) {
+    if (operator_file.registry_addresses.empty()) return;
+    const auto read = [this](const std::string&, const std::string& data, std::string& why) -> std::optional<Registration> {
+        try {
+            return read_registration(data, station_.names);
+        } catch (const BadInput& bad) {
+            why = bad.what();
+            return std::nullopt;
+        }
+    };
+    registry_ = std::make_unique<Registry>(
+        timers_, log, operator_file.registry_addresses, operator_file.registry_path, operator_file.registry_session,
+        station.seed, read, [this](std::vector<RegistrationChange>&& changes) { registered(changes); });
+}
 
 bool Node::start(std::string& complaint) {
     inbox_.emplace_back([this](double now) { listed(now, ListKind::disk, station_.known); });
     turn();
-    if (!station_.deployment.ask_for_list) discovery_.watch();
+    if (registry_ != nullptr) {
+        registry_->start();
+    } else if (!station_.deployment.ask_for_list) {
+        discovery_.watch();
+    }
     return clients_.listen(station_.listen, complaint);
 }
 
@@ -88,7 +108,7 @@
 
 void Node::reload(const Station& station) {
     log_.line(Topic::node, "configuration_read", "configuration read again: discovery at " + station.discovery);
-    discovery_.move_to(station.discovery);
+    if (registry_ == nullptr) discovery_.move_to(station.discovery);
 }
 
 // ---- what comes in -----------------------------------------------------------------------------------
@@ -228,6 +248,28 @@
     forget_gone();
 }
 
+// Registrations are news like discovery's. A start that was seen counts from now: how long ago the server itself
+// says that it began is its own clock's word.
+void Node::registered(const std::vector<RegistrationChange>& changes) {
+    ServerList list;
+    // Who stands there when this node first looks did not start just now: only then the registration's word counts.
+    const bool first = !std::exchange(registry_heard_, true);
+    for (const RegistrationChange& c : changes) {
+        ListedServer s;
+        s.name = c.who.name;
+        s.address = c.who.address;
+        s.zone = c.who.zone;
+        s.kind = c.who.kind;
+        s.cell = c.who.cell;
+        s.standing = c.standing;
+        const auto known = cache_index_.find(s.name);
+        s.born = first     ? c.who.started
+                 : c.fresh ? monotonic() + wall_less_monotonic_ : known != cache_index_.end() ? server(known->second).born : 0;
+        list.servers.push_back(std::move(s));
+    }
+    inbox_.emplace_back([this, told = std::move(list)](double now) { listed(now, ListKind::change, told); });
+}
+
 Listing Node::listing(int cache) {
     const Known& s = server(cache);
     Listing l;
@@ -314,6 +356,7 @@
 }
 
 void Node::watch_list() {
+    if (registry_ != nullptr) return;  // it is told without asking
     to_do_.emplace_back([this] { discovery_.watch(); });
 }
 
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -18,7 +18,9 @@
 #include "clients.h"
 #include "discovery.h"
 #include "log.h"
+#include "operator.h"
 #include "pool.h"
+#include "registry.h"
 #include "station.h"
 #include "timers.h"
 
@@ -26,7 +28,7 @@
 
 class Node final : public Host {
   public:
-    Node(const Station& station, Log& log);
+    Node(const Station& station, const OperatorFile& operator_file, Log& log);
     bool start(std::string& complaint);  // listens: from here on it can serve
     void turn();
     bool has_work() const { return !inbox_.empty(); }
@@ -68,6 +70,7 @@
     void ended(double now, Pool::Ended& e);
     void client_left(double now, int inv);
     void listed(double now, ListKind kind, const ServerList& list);
+    void registered(const std::vector<RegistrationChange>& changes);
     int number_of(const std::string& name);
     Listing listing(int cache);
     void forget_gone();
@@ -85,6 +88,8 @@
     Pool pool_;
     Clients clients_;
     Discovery discovery_;
+    bool registry_heard_ = false;
+    std::unique_ptr<Registry> registry_;  // in the place of discovery, where the operators have it so
     std::vector<Happening> inbox_;
     std::vector<std::function<void()>> to_do_;
     std::vector<int> to_settle_;
--- a/src/net/serve.cpp
+++ b/src/net/serve.cpp
@@ -40,7 +40,7 @@
         return kWrongUse;
     }
     Log log(station.name, operator_file.json_log, operator_file.log_lines_a_second);
-    Node node(station, log);
+    Node node(station, operator_file, log);
     Running running{path, log, node};
     const auto told_to_end = [](gpointer self) -> gboolean {
         static_cast<Running*>(self)->node.wind_down();
--- a/tests/files_test.cpp
+++ b/tests/files_test.cpp
@@ -53,6 +53,12 @@
         {"log = 1\n", "F:1: log: expected a table [log], found a integer"},
         {"[log]\nlines_a_second = 0\n", "F:2: log.lines_a_second: expected 1 to 100000, found 0"},
         {"[log]\nlines_a_second = 1.5\n", "F:2: log.lines_a_second: expected a whole number"},
+        {"[registry]\naddresses = [\"127.0.0.1:2181\"]\npath = \"/fleet\"\nsession = \"4s\"\n", ""},
+        {"[registry]\npath = \"/fleet\"\n", "F:1: registry.addresses: is missing; path needs it"},
+        {"[registry]\naddresses = [\"here:2181\"]\npath = \"/fleet\"\n",
+         "F:2: registry.addresses: expected HOST:PORT with a numeric host, found 'here:2181'"},
+        {"[registry]\naddresses = [\"127.0.0.1:2181\"]\npath = \"/fleet/\"\n",
+         "F:3: registry.path: expected a path such as \"/fleet\", found '/fleet/'"},
         {"[log]\nlines_a_second = 0\nformat = 1\n", "F:3: log.format: expected one of \"human\", \"json\", found ''\nF:2: log.lines"},
     };
     for (const auto& c : cases) {
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -18,6 +18,7 @@
 #include "coordinator_server.h"
 #include "json.h"
 #include "registration.h"
+#include "scripted_peer.h"
 
 namespace {
 
@@ -111,6 +112,92 @@
     EXPECT_TRUE(w.says("cold box-5"));
 }
 
+// A node that follows registrations: what stands there is asked, what goes is asked no more, what comes is asked.
+TEST(Registry, ADaemonFollowsRegistrations) {
+    Io io;
+    const Clock clock;
+    CoordinatorServer server(io, clock, own_loopback());
+    const std::int64_t owner = server.service().open_session(0, 40);
+    (void)server.service().create(0, 0, "/fleet", "", false, false);
+    ScriptedPeer boxes[2]{ScriptedPeer(false), ScriptedPeer(false)};
+    const auto data = [&](int i) {
+        return R"({"address":")" + boxes[i].address() + R"(","zone":"a","kind":"m"})";
+    };
+    for (int i = 0; i < 2; ++i) {
+        boxes[i].plays([](const std::string& command) {
+            const std::size_t at = command.find(" O") + 2;
+            return Act{"VA 5 O" + command.substr(at, command.find(' ', at) - at) + " h1\r\nhello\r\n", false};
+        });
+        (void)server.service().create(0, owner, "/fleet/box-" + std::to_string(i), data(i), true, false);
+    }
+    const std::string base = testing::TempDir() + "registered-" + std::to_string(getpid());
+    int port = 0;
+    close(bound_socket(port));
+    std::ofstream(base + ".json") << R"({"name":"n0","listen":")" << own_loopback() << ":" << port
+                                  << R"(","discovery":"127.0.0.1:1","seed":"1","known":{"seq":1,"whole":true,"hosts":[]},
+ "settings":{"localities":["a"],"kinds":["m"],"permissions":{"cancel":true,"most_forwards":3,"connect_timeout_us":250000},
+ "operations":[{"name":"read","repeat":"idempotent","client_timeout_us":2000000}]}})";
+    std::ofstream(base + ".toml") << "[registry]\naddresses = [\"" << server.address() << "\"]\npath = \"/fleet\"\n";
+    const pid_t child = fork();
+    if (child == 0) {
+        std::freopen((base + ".log").c_str(), "w", stderr);
+        for (int fd = 3; fd < 1024; ++fd) close(fd);
+        execl(BROOKRELAY_PROGRAM, BROOKRELAY_PROGRAM, "serve", "--config", (base + ".json").c_str(), "--operator",
+              (base + ".toml").c_str(), nullptr);
+        _exit(127);
+    }
+    boost::asio::executor_work_guard<Io::executor_type> guard(io.get_executor());
+    std::thread loop([&] { io.run(); });
+    const auto on_loop = [&](const std::function<void()>& what) {
+        std::promise<void> done;
+        boost::asio::post(io, [&] {
+            what();
+            done.set_value();
+        });
+        done.get_future().wait();
+    };
+    int asked = 0;
+    const auto ask = [&](int count) {
+        Line line(own_loopback(), port);
+        int good = 0;
+        for (int i = 0; i < count && line.up(); ++i) {
+            const std::string id = std::to_string(++asked);
+            line.send("mg " + id + " v Oi" + id + " Pc=read,d=1000\r\n");
+            const std::string first = line.until("\r\n");
+            if (first.starts_with("VA ")) good += line.until("\r\n") == "hello\r\n" ? 1 : 0;
+        }
+        return good;
+    };
+    // Until both are known.
+    for (int i = 0; i < 500 && (boxes[0].heard().empty() || boxes[1].heard().empty()); ++i) {
+        if (ask(4) == 0) std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_FALSE(boxes[0].heard().empty());
+    EXPECT_FALSE(boxes[1].heard().empty());
+    on_loop([&] { (void)server.service().remove("/fleet/box-0"); });
+    const auto gone = std::chrono::steady_clock::now();
+    std::size_t before = boxes[0].heard().size();
+    double last = 0;
+    for (int i = 0; i < 40; ++i) {
+        EXPECT_EQ(ask(10), 10);
+        if (boxes[0].heard().size() > before) {
+            before = boxes[0].heard().size();
+            last = std::chrono::duration<double>(std::chrono::steady_clock::now() - gone).count();
+        }
+    }
+    EXPECT_LE(last, 0.3);
+    on_loop([&] { (void)server.service().create(0, owner, "/fleet/box-0", data(0), true, false); });
+    for (int i = 0; i < 500 && boxes[0].heard().size() == before; ++i) (void)ask(10);
+    EXPECT_GT(boxes[0].heard().size(), before);
+    kill(child, SIGTERM);
+    int status = 0;
+    waitpid(child, &status, 0);
+    EXPECT_EQ(WEXITSTATUS(status), 0);
+    guard.reset();
+    io.stop();
+    loop.join();
+}
+
 TEST(Registration, IsReadAndChecked) {
     const Names names{{"a"}, {"box"}, {}, {}};
     const Registration r = read_registration(R"({"address":"127.0.0.1:1","zone":"a","kind":"box","cell":3,"started_ms":2500})", names);
