--- a/src/audit/auditor.cpp
+++ b/src/audit/auditor.cpp
@@ -7,7 +7,8 @@
 namespace brookrelay::audit {
 namespace {
 
-constexpr std::size_t kFindingsKept = 200;      // of each rule; the rest is only counted
+constexpr std::size_t kSuspicionsKept = 20000;  // the rest is only counted
+constexpr std::size_t kTraced = 200;            // findings whose invocations are shown in full
 constexpr double kToldOfStart = 2.0 / 3.0;      // of the push, by nodes that knew of the start: rule 4
 constexpr double kColdMisses = 1.0 / 3.0;       // of what stopped the origin: rule 4
 constexpr double kLateShareMost = 0.02;         // of the day; beyond it nothing of it can be relied upon
@@ -193,7 +194,7 @@
 
 void Auditor::forwarded(double first_byte, double last_byte, int forward, int inv, int server, double work) {
     if (forwards_.size() <= index(forward)) forwards_.resize(index(forward) + 1);
-    forwards_[index(forward)] = {inv, server, work, first_byte, last_byte, -1, Outcome::none, -1, false};
+    forwards_[index(forward)] = {inv, server, work, first_byte, last_byte, -1, Outcome::none, -1, false, false};
     ++verdict_.forwards;
     Server& s = servers_[index(server)];
     s.lately.push_back(forward);
@@ -213,15 +214,16 @@
     const Forward& f = forwards_[index(forward)];
     const Invocation& v = invocations_[index(f.inv)];
     const Operation& op = terms_.operations[index(v.ask.operation)];
-    const std::string to = "forward " + std::to_string(forward) + " to " + server_name(f.server);
+    // Every forward comes by here, and hardly any has anything to be said of it.
+    const auto to = [&] { return "forward " + std::to_string(forward) + " to " + server_name(f.server); };
     if (v.close == Close::replied && f.first_byte > v.closed_at + terms_.slack) {
-        find(1, f.inv, f.first_byte, v.closed_at, to + " was sent " + seconds_text(f.first_byte - v.closed_at) +
+        find(1, f.inv, f.first_byte, v.closed_at, to() + " was sent " + seconds_text(f.first_byte - v.closed_at) +
                                                       " after the final answer");
     }
     const Drain& drain = told_[index(v.ask.node)][index(f.server)];
     if (drain.standing != Standing::ready && f.first_byte > drain.since + terms_.drain_grace + terms_.slack) {
         find(3, f.inv, f.first_byte, drain.since,
-             to + " began " + seconds_text(f.first_byte - drain.since) + " after node " +
+             to() + " began " + seconds_text(f.first_byte - drain.since) + " after node " +
                  std::to_string(v.ask.node) + " was told that it " +
                  (drain.standing == Standing::gone ? "is gone" : "drains") + " (grace " +
                  seconds_text(terms_.drain_grace) + ")");
@@ -230,21 +232,23 @@
     for (const int earlier : v.forwards) {
         if (!may_have_run(earlier, f.first_byte)) continue;
         const Forward& e = forwards_[index(earlier)];
-        const std::string after = " though forward " + std::to_string(earlier) + " to " + server_name(e.server) +
-                                  " may have run";
+        const auto after = [&] {
+            return " though forward " + std::to_string(earlier) + " to " + server_name(e.server) +
+                   " may have run";
+        };
         if (op.repeat == Repeat::non_idempotent) {
-            find(2, f.inv, f.first_byte, e.last_byte, "non-idempotent: " + to + " was sent" + after, false);
+            find(2, f.inv, f.first_byte, e.last_byte, "non-idempotent: " + to() + " was sent" + after(), false);
             return;
         }
         if (!drops_repeats(op.scope, e.server, f.server)) {
             find(2, f.inv, f.first_byte, e.last_byte,
-                 "deduplicated: " + to + " is outside the group that drops its repeats," + after, false);
+                 "deduplicated: " + to() + " is outside the group that drops its repeats," + after(), false);
             return;
         }
         if (f.last_byte > e.last_byte + op.dedup_window + terms_.slack) {
             find(2, f.inv, f.first_byte, e.last_byte,
-                 "deduplicated: " + to + " came " + seconds_text(f.last_byte - e.last_byte) +
-                     " later, when its mark is forgotten (" + seconds_text(op.dedup_window) + ")," + after);
+                 "deduplicated: " + to() + " came " + seconds_text(f.last_byte - e.last_byte) +
+                     " later, when its mark is forgotten (" + seconds_text(op.dedup_window) + ")," + after());
             return;
         }
     }
@@ -290,6 +294,7 @@
     if (f.over_at >= 0) return;
     f.over_at = now;
     f.outcome = outcome;
+    f.missed_cold = outcome == Outcome::miss && servers_[index(f.server)].cold;
 }
 
 void Auditor::started(double now, int server, bool cold) {
@@ -317,11 +322,9 @@
         by_node[index(v.ask.node)] += f.work;
         if (s.told_start[index(v.ask.node)]) told += f.work;
         for (const int earlier : v.forwards) {
-            const Forward& e = forwards_[index(earlier)];
-            if (e.outcome == Outcome::miss && servers_[index(e.server)].cold) {
-                cold_misses += f.work;
-                break;
-            }
+            if (!forwards_[index(earlier)].missed_cold) continue;
+            cold_misses += f.work;
+            break;
         }
     }
     if (all == 0) return;
@@ -382,8 +385,10 @@
 // Whether the machine ran well is known only at the end, as lateness is told after the fact; so all are kept
 // until finish().
 void Auditor::find(int rule, int inv, double at, double from, std::string what, bool by_clock) {
-    ++verdict_.broken[index(rule)];
-    if (suspicions_.size() >= kFindingsKept) return;
+    if (suspicions_.size() >= kSuspicionsKept) {
+        ++beyond_kept_[index(rule)];
+        return;
+    }
     suspicions_.push_back({{rule, inv, at - begin_, std::move(what), {}}, std::min(from, at), by_clock});
 }
 
@@ -482,10 +487,16 @@
     for (std::size_t i = 0; i < invocations_.size(); ++i) gave_up(now, static_cast<int>(i));
     Verdict v = verdict_;
     for (Suspicion& s : suspicions_) {
-        s.finding.trace = trace(s.finding.inv);
         const bool aside = s.by_clock && !watched_well(s.from, s.finding.at + begin_);
-        if (aside) --v.broken[index(s.finding.rule)];
-        (aside ? v.set_aside : v.findings).push_back(std::move(s.finding));
+        std::vector<Finding>& where = aside ? v.set_aside : v.findings;
+        if (!aside) ++v.broken[index(s.finding.rule)];
+        if (where.size() >= kTraced) continue;
+        s.finding.trace = trace(s.finding.inv);
+        where.push_back(std::move(s.finding));
+    }
+    // Those beyond were not weighed; they count only where others of their rule stood.
+    for (std::size_t rule = 0; rule < v.broken.size(); ++rule) {
+        if (v.broken[rule] > 0) v.broken[rule] += beyond_kept_[rule];
     }
     std::stable_sort(v.findings.begin(), v.findings.end(),
                      [](const Finding& a, const Finding& b) { return a.at < b.at; });
--- a/src/audit/auditor.h
+++ b/src/audit/auditor.h
@@ -134,6 +134,7 @@
         Outcome outcome = Outcome::none;
         double ran_at = -1;
         bool dropped = false;
+        bool missed_cold = false;
     };
     enum class Close { open, replied, left, lost, gave_up, lost_with_node, unreachable };
     struct Invocation {
@@ -196,6 +197,7 @@
     double late_sum_ = 0, late_worst_ = 0;
     std::vector<std::vector<double>> tenant_asks_;  // [tenant][second]
     std::vector<Suspicion> suspicions_;
+    std::vector<int> beyond_kept_ = std::vector<int>(5, 0);  // suspicions of each rule that are only counted
     Verdict verdict_;
 };
 
--- a/src/kit/cache_server.cpp
+++ b/src/kit/cache_server.cpp
@@ -103,10 +103,7 @@
     job.id = command.id;
     job.mark = command.properties.mark;
     double work = operation < 0 ? 0 : world_.scenario.operations[static_cast<std::size_t>(operation)].work;
-    if (sound && !job.write) {
-        job.hit = store_.get(job.key).has_value();
-        if (!job.hit) work *= kMissPart;
-    }
+    if (sound && !job.write && !store_.get(job.key)) work *= kMissPart;
     work += p.handshake;
     p.handshake = 0;
     meter_.offered(now, work);
--- a/src/kit/cache_server.h
+++ b/src/kit/cache_server.h
@@ -56,7 +56,6 @@
         std::uint64_t key = 0;
         int operation = 0;
         bool write = false;
-        bool hit = false;
         std::string id;
         std::uint64_t mark = 0;
     };
--- a/src/kit/histogram.h
+++ b/src/kit/histogram.h
@@ -1,4 +1,4 @@
-// Latencies in bins whose width grows with the time: the parts of a distribution to about two in a hundred, in
+// Latencies in bins whose width grows with the time: the parts of a distribution to some three in a hundred, in
 // a few kilobytes. No I/O.
 #pragma once
 
@@ -47,7 +47,7 @@
     }
 
   private:
-    static constexpr int kBins = 600;  // to 2% of the time itself
+    static constexpr int kBins = 600;  // each 2.7% wider than the one before
     static constexpr double kLeast = 10e-6, kMost = 100;
     using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
     decltype(boost::histogram::make_histogram(Axis(1, 1, 2))) bins_;
--- a/src/kit/rehearsal.cpp
+++ b/src/kit/rehearsal.cpp
@@ -442,6 +442,7 @@
         n.waited_before = std::max(n.waited_before, f.waited);
         n.cpu_before = std::max(n.cpu_before, f.cpu);
         result_.daemon_rss_mb = std::max(result_.daemon_rss_mb, f.rss_most_mb);
+        result_.daemon_descriptors = std::max(result_.daemon_descriptors, f.descriptors);
     }
     world_.at(now + kLookAtDaemons, [this] { look_at_daemons(); });
 }
--- a/src/kit/rehearsal.h
+++ b/src/kit/rehearsal.h
@@ -47,6 +47,7 @@
     std::uint64_t hits = 0, misses = 0, server_busy = 0, origin_reads = 0, origin_writes = 0, origin_busy = 0,
                   origin_halts = 0, connections = 0;
     double daemon_cpu = 0, daemon_rss_mb = 0;
+    int daemon_descriptors = 0;     // the most that one held
     int crashes = 0;                // daemons that ended by themselves
 };
 
--- a/src/kit/report.cpp
+++ b/src/kit/report.cpp
@@ -377,6 +377,7 @@
     put(json, "cpu", r.daemon_cpu);
     put(json, "cpu_us_an_invocation", v.invocations > 0 ? 1e6 * r.daemon_cpu / static_cast<double>(v.invocations) : 0.0);
     put(json, "rss_mb_most", r.daemon_rss_mb);
+    put(json, "descriptors_most", static_cast<std::uint64_t>(r.daemon_descriptors));
     json.EndObject();
     json.Key("kit_late");
     json.StartObject();
--- a/src/membership/registrations.cpp
+++ b/src/membership/registrations.cpp
@@ -132,7 +132,6 @@
 }
 
 void Registrations::tell(Known& k, Standing standing, bool fresh) {
-    k.was_told = standing == Standing::ready;
     // News that nobody has taken yet is overtaken by this.
     std::erase_if(changes_, [&](const RegistrationChange& c) {
         const bool same = c.who.name == k.registration.name;
--- a/src/membership/registrations.h
+++ b/src/membership/registrations.h
@@ -80,7 +80,6 @@
         double since = 0;       // when it came, or went
         double waits_until = 0; // for trust, or for doubt to end
         int flaps = 0;
-        bool was_told = false;  // as ready
     };
 
     void came(double now, const Registration& r);
--- a/tests/audit_test.cpp
+++ b/tests/audit_test.cpp
@@ -97,6 +97,17 @@
     }
 }
 
+// A hundred reads that miss at one cache and go on to the origin.
+void push_misses(Day& d) {
+    for (int i = 0; i < 100; ++i) {
+        const double at = 1 + 0.0099 * i;
+        d.ask(at, i, kRead);
+        d.judge.ended(at + 0.001, d.send(at, i, kBoxA), Outcome::miss);
+        d.send(at + 0.002, i, kOrigin);
+        d.judge.client_left(at + 0.005, i);
+    }
+}
+
 const Case kCases[] = {
     {"a day that goes well", 0, "", [](Day& d) { d.fine(1, 0); }},
     // ---- rule 1
@@ -408,15 +419,22 @@
          }
          d.judge.pushed_over(2, kOrigin);
      }},
+    {"the origin stopped by misses at a server that has become warm since", 4, "origin was stopped",
+     [](Day& d) {
+         d.judge.started(0.5, kBoxA, true);
+         push_misses(d);
+         d.judge.warm(1.99, kBoxA);
+         d.judge.pushed_over(2, kOrigin);
+     }},
+    {"the origin stopped by misses at a server that became cold only after them", 0, "",
+     [](Day& d) {
+         push_misses(d);
+         d.judge.started(1.995, kBoxA, true);
+         d.judge.pushed_over(2, kOrigin);
+     }},
     {"the origin stopped by misses at warm caches", 0, "",
      [](Day& d) {
-         for (int i = 0; i < 100; ++i) {
-             const double at = 1 + 0.01 * i;
-             d.ask(at, i, kRead);
-             d.judge.ended(at + 0.001, d.send(at, i, kBoxA), Outcome::miss);
-             d.send(at + 0.002, i, kOrigin);
-             d.judge.client_left(at + 0.005, i);
-         }
+         push_misses(d);
          d.judge.pushed_over(2, kOrigin);
      }},
 };
@@ -471,6 +489,14 @@
     unsaid.judge.late(3.5, 2.4);
     unsaid.judge.connection_ended(3.5, 0);
     EXPECT_TRUE(unsaid.judge.finish(1000).void_run);
+    // Far more than are kept, all of a late day: none of them may be called broken.
+    Day many;
+    for (int i = 0; i < 30000; ++i) many.ask(1, i, kRead);
+    many.judge.late(3, 2.5);
+    for (int i = 0; i < 30000; ++i) many.judge.replied(3, i, Reply::errored, -1);
+    const Verdict all_late = many.judge.finish(1000);
+    EXPECT_TRUE(all_late.void_run);
+    EXPECT_EQ(all_late.broken[1], 0);
     // What no clock decides stays broken.
     Day twice;
     twice.fine(1, 0);
--- a/tests/follower_test.cpp
+++ b/tests/follower_test.cpp
@@ -103,6 +103,18 @@
     EXPECT_EQ(p.told(), "=c");
 }
 
+// A removal in the midst of the first reading does not pass a part for the whole: answers come in their order.
+TEST(Follower, ShowsNoPartOfTheFirstPicture) {
+    Pair p;
+    for (const char* name : {"a", "b", "c", "d", "e"}) p.add(name);
+    p.up();
+    EXPECT_TRUE(p.deliver_one());  // the greeting: the listing is on its way
+    p.drop("a");
+    std::string first;
+    while (first.empty() && p.deliver_one()) first = p.told();
+    EXPECT_EQ(first, "+b +c +d +e");
+}
+
 TEST(Follower, SeesWhatHappenedWhileItWasAway) {
     Pair p;
     for (const char* name : {"a", "b", "c", "d", "e"}) p.add(name);
--- a/tests/kit_test.cpp
+++ b/tests/kit_test.cpp
@@ -335,7 +335,6 @@
         Effect{"origin_stop", trouble(TroubleKind::origin_stop, 1, 1.5), [](const Played& p) { return p.result.origin_halts == 1 && says(p, "origin: forward timed out"); }},
         Effect{"scan", with(trouble(TroubleKind::scan, 1, 1.5), [](Trouble& x) { x.part = 0.5; }),
                [](const Played& p) { return forwards(p, 3, 1) > 2 * forwards(p, 3, 0); }},
-        Effect{"discovery_down", trouble(TroubleKind::discovery_down, 0.5, 2), [](const Played& p) { return p.result.verdict.succeeded > 500; }},
         Effect{"discovery_restart", trouble(TroubleKind::discovery_restart, 0.8, 2.4, {"box-2"}),
                [](const Played& p) { return says(p, "connection lost") && says(p, "(whole list)") && forwards(p, 1, 2) == 0; }},
         Effect{"drain", trouble(TroubleKind::drain, 0.5, 0, {"box-3"}),
@@ -346,17 +345,19 @@
         Effect{"reload", trouble(TroubleKind::reload, 1, 0), [](const Played& p) { return says(p, "configuration read again"); }},
         Effect{"reload_bad", trouble(TroubleKind::reload_bad, 1, 0), [](const Played& p) { return says(p, "not taken, the old one stays"); }},
         Effect{"spoilt", trouble(TroubleKind::spoilt, 1, 1.5, {"box-1"}), [](const Played& p) { return says(p, "box-1: nonsense"); }},
-        Effect{"tricklers", with(trouble(TroubleKind::tricklers, 0.3, 3), [](Trouble& x) { x.count = 30; }),
-               [](const Played& p) { return p.result.verdict.succeeded > 500; }},
+        Effect{"tricklers", with(trouble(TroubleKind::tricklers, 0.3, 3), [](Trouble& x) { x.count = 150; }),
+               [](const Played& p) { return p.result.daemon_descriptors > 150; }},
         Effect{"non_readers", with(trouble(TroubleKind::non_readers, 0.3, 3), [](Trouble& x) { x.count = 10; }),
                [](const Played& p) { return p.result.verdict.forwards > p.result.verdict.invocations + 300; }},
         Effect{"over_share", with(trouble(TroubleKind::over_share, 1, 1, {"partners"}), [](Trouble& x) { x.factor = 5; }),
                [](const Played& p) { return p.result.verdict.seconds[1].asked > 1.5 * p.result.verdict.seconds[0].asked; }}),
     [](const auto& one) { return one.param.name; });
 
-TEST(Rehearsal, NewsThatDiscoveryKeepsBackDoesNotReachTheDaemon) {
+class NewsWithheld : public testing::TestWithParam<TroubleKind> {};
+
+TEST_P(NewsWithheld, ReachesTheDaemonOnlyAfterwards) {
     Scenario s = small_day(4);
-    s.troubles = {trouble(TroubleKind::discovery_stale, 0.2, 2.5), trouble(TroubleKind::drain, 0.4, 0, {"box-3"})};
+    s.troubles = {trouble(GetParam(), 0.2, 2.5), trouble(TroubleKind::drain, 0.4, 0, {"box-3"})};
     const Played p = play(s);
     ASSERT_EQ(p.result.failed, "");
     EXPECT_TRUE(p.result.verdict.findings.empty()) << summary_text(p.plan, p.result);
@@ -364,6 +365,9 @@
     EXPECT_EQ(forwards(p, 2, 3), 0);
 }
 
+INSTANTIATE_TEST_SUITE_P(Discovery, NewsWithheld,
+                         testing::Values(TroubleKind::discovery_stale, TroubleKind::discovery_down));
+
 TEST(Rehearsal, ManyTroublesAtOnceBreakNoRule) {
     Scenario s = small_day(6);
     s.nodes = 2;
