--- /dev/null
+++ b/src/kit/experiment.cpp
@@ -0,0 +1,363 @@
+#include "experiment.h"
+
+#include <rapidjson/document.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/math/distributions/students_t.hpp>
+#include <cmath>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "digits.h"
+#include "svg.h"
+
+namespace brookrelay::kit {
+namespace {
+
+std::string short_name(const std::string& program) {
+    // The last two parts of a path tell builds apart; the last alone is the same for all of them.
+    const std::filesystem::path path(program);
+    const std::string parent = path.parent_path().filename().string();
+    const std::string grand = path.parent_path().parent_path().filename().string();
+    return grand + "/" + parent + "/" + path.filename().string();
+}
+
+std::string number_text(double v, const char* how = "%.4f") {
+    char room[32];
+    std::snprintf(room, sizeof room, how, v);
+    return room;
+}
+
+std::string csv_word(const std::string& text) {
+    std::string out = "\"";
+    for (const char c : text) out += c == '"' ? "\"\"" : std::string(1, c);
+    return out + "\"";
+}
+
+}  // namespace
+
+Sweep read_sweep(const std::string& text) {
+    Sweep sweep;
+    const std::size_t equals = text.find('=');
+    if (equals == std::string::npos || equals == 0) throw std::invalid_argument("expected PATH=VALUE, found '" + text + "'");
+    sweep.path = text.substr(0, equals);
+    int depth = 0;
+    bool quoted = false;
+    std::string value;
+    for (const char c : text.substr(equals + 1)) {
+        if (c == '"') quoted = !quoted;
+        if (!quoted && c == '[') ++depth;
+        if (!quoted && c == ']') --depth;
+        if (c == ',' && depth == 0 && !quoted) {
+            sweep.values.push_back(std::exchange(value, {}));
+        } else {
+            value += c;
+        }
+    }
+    sweep.values.push_back(value);
+    return sweep;
+}
+
+std::vector<std::uint64_t> read_seeds(const std::string& text) {
+    constexpr std::uint64_t kSeedsMost = 10000;
+    std::vector<std::uint64_t> seeds;
+    std::stringstream parts(text);
+    std::string part;
+    while (std::getline(parts, part, ',')) {
+        const std::size_t dots = part.find("..");
+        std::uint64_t first = 0, last = 0;
+        const bool sound = dots == std::string::npos
+                               ? read_digits(part, first) && (last = first, true)
+                               : read_digits(std::string_view(part).substr(0, dots), first) &&
+                                     read_digits(std::string_view(part).substr(dots + 2), last);
+        if (!sound || last < first || last - first >= kSeedsMost) {
+            throw std::invalid_argument("expected seeds such as 3, 1..5 or 1,4,9, found '" + text + "'");
+        }
+        for (std::uint64_t s = first; s <= last; ++s) seeds.push_back(s);
+    }
+    if (seeds.empty()) throw std::invalid_argument("expected at least one seed");
+    return seeds;
+}
+
+const std::vector<Measure>& all_measures() {
+    static const std::vector<Measure> all{{"service, whole", "", &Measures::whole},
+                                          {"service, worst 10 s", "", &Measures::worst_ten},
+                                          {"service, worst operation", "", &Measures::worst_operation},
+                                          {"service, worst tenant", "", &Measures::worst_tenant},
+                                          {"worst p99", "ms", &Measures::p99_ms},
+                                          {"processor an invocation", "us", &Measures::cpu_us},
+                                          {"origin reads", "", &Measures::origin_reads}};
+    return all;
+}
+
+std::vector<Cell> cells_of(const ExperimentPlan& plan) {
+    std::vector<std::vector<std::string>> settings{{}};
+    for (const Sweep& sweep : plan.sweeps) {
+        std::vector<std::vector<std::string>> longer;
+        for (const auto& setting : settings) {
+            for (const std::string& value : sweep.values) {
+                longer.push_back(setting);
+                longer.back().push_back(sweep.path + "=" + value);
+            }
+        }
+        settings = std::move(longer);
+    }
+    std::vector<Cell> cells;
+    // Seed by seed, and the daemons next to one another: a machine that slows down slows them all.
+    for (const std::uint64_t seed : plan.seeds) {
+        for (const auto& setting : settings) {
+            for (std::size_t d = 0; d < plan.daemons.size(); ++d) {
+                Cell c;
+                c.daemon = d;
+                c.sets = setting;
+                c.seed = seed;
+                for (std::size_t i = 0; i < setting.size(); ++i) {
+                    if (plan.sweeps[i].values.size() > 1) c.setting += (c.setting.empty() ? "" : ", ") + setting[i];
+                }
+                c.folder = plan.folder + "/day-" + std::to_string(cells.size() + 1);
+                cells.push_back(std::move(c));
+            }
+        }
+    }
+    return cells;
+}
+
+Measures read_measures(const std::string& path) {
+    Measures m;
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    rapidjson::Document d;
+    d.Parse(text.str().c_str());
+    if (d.HasParseError() || !d.IsObject() || !d.HasMember("service")) return m;
+    m.verdict = d["verdict"].GetString();
+    m.played = m.verdict != "not played" && !d["interrupted"].GetBool();
+    const auto& service = d["service"];
+    m.whole = service["whole"].GetDouble();
+    m.worst_ten = service["worst_ten"].GetDouble();
+    m.worst_operation = service["worst_operation"].GetDouble();
+    m.worst_tenant = service["worst_tenant"].GetDouble();
+    for (const auto& l : d["latency_ms"].GetArray()) m.p99_ms = std::max(m.p99_ms, l["p99"].GetDouble());
+    m.cpu_us = d["daemons"]["cpu_us_an_invocation"].GetDouble();
+    m.origin_reads = d["counts"]["origin_reads"].GetDouble();
+    m.late = d["kit_late"]["part_of_day"].GetDouble();
+    return m;
+}
+
+ExperimentResult play_experiment(const ExperimentPlan& plan, const std::function<int(const Cell&)>& day) {
+    ExperimentResult result;
+    result.cells = cells_of(plan);
+    std::map<pid_t, std::size_t> running;
+    std::size_t next = 0, done = 0;
+    const auto stop = [&] { return plan.interrupted && plan.interrupted(); };
+    while (next < result.cells.size() || !running.empty()) {
+        while (next < result.cells.size() && static_cast<int>(running.size()) < plan.jobs && !stop()) {
+            const Cell& cell = result.cells[next];
+            std::filesystem::create_directories(cell.folder);
+            const pid_t parent = getpid();
+            const pid_t child = fork();
+            if (child < 0) throw std::runtime_error("cannot start a process");
+            if (child == 0) {
+                prctl(PR_SET_PDEATHSIG, SIGTERM);
+                int code = 2;
+                try {
+                    if (getppid() == parent) code = day(cell);
+                } catch (const std::exception& bad) {
+                    std::fprintf(stderr, "%s: %s\n", cell.folder.c_str(), bad.what());
+                }
+                std::fflush(nullptr);
+                _exit(code);
+            }
+            running.emplace(child, next++);
+        }
+        if (running.empty()) break;  // interrupted before the next
+        int status = 0;
+        const pid_t ended = waitpid(-1, &status, WNOHANG);
+        if (ended <= 0) {
+            if (stop() && !result.was_interrupted) {
+                result.was_interrupted = true;
+                for (const auto& [pid, cell] : running) kill(pid, SIGTERM);
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            continue;
+        }
+        const auto found = running.find(ended);
+        if (found == running.end()) continue;
+        Cell& cell = result.cells[found->second];
+        running.erase(found);
+        cell.measures = read_measures(cell.folder + "/report.json");
+        ++done;
+        if (plan.progress) plan.progress(done, result.cells.size(), cell);
+    }
+    result.was_interrupted = result.was_interrupted || next < result.cells.size();
+    result.pairs = paired(result.cells, plan.daemons.size());
+    return result;
+}
+
+bool Paired::told_apart() const { return first.size() >= 2 && std::abs(mean) > half_width; }
+
+std::vector<Paired> paired(const std::vector<Cell>& cells, std::size_t daemons) {
+    std::vector<std::string> settings;
+    for (const Cell& c : cells) {
+        if (std::find(settings.begin(), settings.end(), c.setting) == settings.end()) settings.push_back(c.setting);
+    }
+    std::vector<Paired> all;
+    for (const std::string& setting : settings) {
+        for (std::size_t d = 1; d < daemons; ++d) {
+            for (const Measure& m : all_measures()) {
+                Paired p;
+                p.setting = setting;
+                p.daemon = d;
+                p.measure = m.name;
+                p.unit = m.unit;
+                for (const Cell& a : cells) {
+                    if (a.daemon != 0 || a.setting != setting || !a.measures.played) continue;
+                    const auto b = std::find_if(cells.begin(), cells.end(), [&](const Cell& c) {
+                        return c.daemon == d && c.setting == setting && c.seed == a.seed && c.measures.played;
+                    });
+                    if (b == cells.end()) continue;
+                    p.first.push_back(a.measures.*(m.value));
+                    p.other.push_back(b->measures.*(m.value));
+                }
+                const std::size_t n = p.first.size();
+                if (n == 0) continue;
+                for (std::size_t i = 0; i < n; ++i) p.mean += (p.other[i] - p.first[i]) / static_cast<double>(n);
+                if (n >= 2) {
+                    double squares = 0;
+                    for (std::size_t i = 0; i < n; ++i) squares += std::pow(p.other[i] - p.first[i] - p.mean, 2);
+                    p.deviation = std::sqrt(squares / static_cast<double>(n - 1));
+                    const boost::math::students_t spread(static_cast<double>(n - 1));
+                    p.half_width = boost::math::quantile(spread, 0.975) * p.deviation / std::sqrt(static_cast<double>(n));
+                }
+                all.push_back(std::move(p));
+            }
+        }
+    }
+    return all;
+}
+
+std::string experiment_text(const ExperimentPlan& plan, const ExperimentResult& r) {
+    std::string out;
+    std::map<std::string, int> verdicts;
+    for (const Cell& c : r.cells) ++verdicts[c.measures.verdict.empty() ? "not played" : c.measures.verdict];
+    out += "days             " + std::to_string(r.cells.size()) + ":";
+    for (const auto& [word, count] : verdicts) out += " " + std::to_string(count) + " " + word;
+    out += r.was_interrupted ? " (interrupted)\n" : "\n";
+    // Each setting and daemon: the mean over its seeds, and the range.
+    std::vector<std::pair<std::string, std::size_t>> groups;
+    for (const Cell& c : r.cells) {
+        const std::pair<std::string, std::size_t> g{c.setting, c.daemon};
+        if (std::find(groups.begin(), groups.end(), g) == groups.end()) groups.push_back(g);
+    }
+    for (const auto& [setting, daemon] : groups) {
+        out += short_name(plan.daemons[daemon]) + (setting.empty() ? "" : "  " + setting) + "\n";
+        for (const Measure& m : all_measures()) {
+            double sum = 0, least = 0, most = 0;
+            int n = 0;
+            for (const Cell& c : r.cells) {
+                if (c.setting != setting || c.daemon != daemon || !c.measures.played) continue;
+                const double v = c.measures.*(m.value);
+                least = n == 0 ? v : std::min(least, v);
+                most = n == 0 ? v : std::max(most, v);
+                sum += v;
+                ++n;
+            }
+            if (n == 0) continue;
+            char line[160];
+            std::snprintf(line, sizeof line, "    %-26s %12.4f  (%.4f to %.4f) %s\n", m.name, sum / n, least, most, m.unit);
+            out += line;
+        }
+    }
+    for (const Paired& p : r.pairs) {
+        char line[240];
+        std::snprintf(line, sizeof line, "%-30s %-26s %+.4f +- %.4f %s over %zu pairs%s\n",
+                      (short_name(plan.daemons[p.daemon]) + (p.setting.empty() ? "" : " " + p.setting)).c_str(),
+                      p.measure.c_str(), p.mean, p.half_width, p.unit.c_str(), p.first.size(),
+                      p.told_apart() ? "" : " (not told apart)");
+        out += line;
+    }
+    return out;
+}
+
+void write_experiment(const ExperimentPlan& plan, const ExperimentResult& r) {
+    std::ofstream csv(plan.folder + "/experiment.csv");
+    csv << "day,daemon,setting,seed,verdict";
+    for (const Measure& m : all_measures()) csv << "," << csv_word(m.name);
+    csv << "\n";
+    for (std::size_t i = 0; i < r.cells.size(); ++i) {
+        const Cell& c = r.cells[i];
+        csv << i + 1 << "," << csv_word(plan.daemons[c.daemon]) << "," << csv_word(c.setting) << "," << c.seed << ","
+            << csv_word(c.measures.verdict);
+        for (const Measure& m : all_measures()) csv << "," << number_text(c.measures.*(m.value), "%.6f");
+        csv << "\n";
+    }
+    std::string html =
+        "<!doctype html><html lang='en'><head><meta charset='utf-8'><title>experiment</title><style>"
+        "body{font:15px/1.5 system-ui,sans-serif;color:#222;max-width:980px;margin:24px auto;padding:0 16px}"
+        "svg{width:100%;height:auto;margin:6px 0 12px;font:11px system-ui,sans-serif}svg .title{font-size:13px;font-weight:600}"
+        "svg .label{fill:#666}table{border-collapse:collapse}td,th{padding:3px 12px 3px 0;text-align:left;"
+        "border-bottom:1px solid #eee}pre{background:#f6f6f6;padding:8px;overflow-x:auto}</style></head><body><h1>" +
+        html_escaped(std::filesystem::path(plan.scenario).stem().string()) + ": experiment</h1>";
+    // One chart a measure: the settings, or the seeds where nothing was swept, along the axis.
+    std::vector<std::string> settings;
+    for (const Cell& c : r.cells) {
+        if (std::find(settings.begin(), settings.end(), c.setting) == settings.end()) settings.push_back(c.setting);
+    }
+    const bool swept = settings.size() > 1;
+    for (const Measure& m : all_measures()) {
+        Chart chart;
+        chart.title = std::string(m.name) + (*m.unit == '\0' ? "" : std::string(" (") + m.unit + ")");
+        chart.x_label = swept ? "setting, in the order of the table below" : "seed, in the order played";
+        chart.y_label = m.name;
+        for (std::size_t d = 0; d < plan.daemons.size(); ++d) {
+            Curve2d curve{short_name(plan.daemons[d])};
+            if (swept) {
+                for (std::size_t s = 0; s < settings.size(); ++s) {
+                    double sum = 0, least = 0, most = 0;
+                    int n = 0;
+                    for (const Cell& c : r.cells) {
+                        if (c.daemon != d || c.setting != settings[s] || !c.measures.played) continue;
+                        const double v = c.measures.*(m.value);
+                        least = n == 0 ? v : std::min(least, v);
+                        most = n == 0 ? v : std::max(most, v);
+                        sum += v;
+                        ++n;
+                    }
+                    if (n == 0) continue;
+                    curve.points.emplace_back(static_cast<double>(s + 1), sum / n);
+                    curve.band.emplace_back(least, most);
+                }
+            } else {
+                double x = 1;
+                for (const Cell& c : r.cells) {
+                    if (c.daemon == d && c.measures.played) curve.points.emplace_back(x++, c.measures.*(m.value));
+                }
+            }
+            chart.curves.push_back(std::move(curve));
+        }
+        html += svg_text(chart);
+    }
+    if (swept) {
+        html += "<table><tr><th></th><th>setting</th></tr>";
+        for (std::size_t s = 0; s < settings.size(); ++s) {
+            html += "<tr><td>" + std::to_string(s + 1) + "</td><td>" + html_escaped(settings[s]) + "</td></tr>";
+        }
+        html += "</table>";
+    }
+    html += "<pre>" + html_escaped(experiment_text(plan, r)) + "</pre></body></html>\n";
+    std::ofstream page(plan.folder + "/experiment.html");
+    if (!(page << html << std::flush) || !(csv << std::flush)) {
+        throw std::runtime_error("cannot write the experiment's files in " + plan.folder);
+    }
+}
+
+}  // namespace brookrelay::kit
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -55,12 +55,27 @@
     CLI::App* rehearse = app.add_subcommand("rehearse", "play a scenario's day against stand-ins and judge it by the rules");
     rehearse->add_option("SCENARIO", wish.scenario, "a file, or the name of one below scenarios/")
         ->capture_default_str();
-    rehearse->add_option("--daemon", wish.daemons, "the program to rehearse; this one if it is left out");
-    rehearse->add_option("--seeds", wish.seeds, "the day's seed");
-    rehearse->add_option("--set", wish.sets, "PATH=VALUE, put over the scenario's file")->allow_extra_args(false);
+    rehearse->add_option("--daemon", wish.daemons, "the program to rehearse, this one if left out; several are compared")
+        ->allow_extra_args(false);
+    rehearse->add_option("--seeds", wish.seeds, "3, 1..5 or 1,4,9; the scenario's own if left out");
+    rehearse->add_option("--set", wish.sets, "PATH=VALUE over the scenario's file; PATH=V1,V2 plays each")
+        ->allow_extra_args(false);
+    rehearse->add_option("--jobs", wish.jobs, "days of an experiment at the same time")->check(CLI::Range(1, 64));
     rehearse->add_option("--out", wish.out, "the folder for logs and reports; a new one below rehearsals/ if left out");
     rehearse->add_flag("--quiet", wish.quiet, "no progress");
 
+    brookrelay::LoadWish load_wish;
+    CLI::App* load = rehearse->add_subcommand("load", "measure one daemon on one core before caches that answer at once");
+    load->add_option("--daemon", load_wish.daemons, "the program, this one if left out; several are measured in turn")
+        ->allow_extra_args(false);
+    load->add_option("--clients", load_wish.clients, "how many clients; several are measured one after another")
+        ->delimiter(',')
+        ->check(CLI::Range(1, 10000));
+    load->add_option("--rate", load_wish.rate, "invocations a second; closed loop if left out")->check(CLI::PositiveNumber);
+    load->add_option("--seconds", load_wish.seconds, "of each measurement")->check(CLI::Range(0.1, 3600.0));
+    load->add_option("--rounds", load_wish.rounds, "how many times in all")->check(CLI::Range(1, 1000));
+    load->add_option("--value-bytes", load_wish.value_bytes, "of each value")->check(CLI::Range(64, 60000));
+
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& said) {
@@ -69,6 +84,7 @@
     }
     try {
         if (check->parsed()) return brookrelay::check_file(to_check);
+        if (load->parsed()) return brookrelay::measure_load(load_wish);
         if (rehearse->parsed()) return brookrelay::rehearse(wish);
         return serve_with(config, operator_path, log_format);
     } catch (const brookrelay::BadFile& bad) {
