--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -18,7 +18,9 @@
 namespace brookrelay {
 namespace {
 
-constexpr int kPoints = 100;                                // points a cache; the design's figure
+constexpr double kPoints = 100;  // points a cache of the usual size; the design's figure
+constexpr double kPointsLeast = 10;  // of a very small one, and
+constexpr double kPointsMost = 1000;  // of a very large one
 constexpr std::uint64_t kRingSeed = 0x62726f6f6b72656cULL;  // the same at every node
 constexpr double kOverMean = 3.0;  // the design: at least twice; less tears keys from their copies
 constexpr int kFloor = 6;          // the design: at least two; a small floor passes over on chance alone
@@ -183,6 +185,7 @@
     int cell = 0;
     int kind = 0;
     int ring = -1;  // the zone whose ring holds its points; -1: none
+    int points = 0;  // of them there
     bool origin = false;
     Standing standing = Standing::gone;
     double cold_since = -1e9;  // when it last started, as told or as guessed after a silence
@@ -269,6 +272,7 @@
                 Cache fresh;
                 fresh.out = c.out;
                 fresh.ring = c.ring;
+                fresh.points = c.points;
                 fresh.cold_since = start;
                 c = fresh;
             }
@@ -281,6 +285,8 @@
                 kinds_.resize(static_cast<std::size_t>(c.kind) + 1);
             c.origin = deployment_.origin_kind >= 0 && e.kind == deployment_.origin_kind;
             c.standing = e.standing;
+            Kind& k = kinds_[static_cast<std::size_t>(c.kind)];
+            if (deployment_.sizes_listed && e.size > 0) k.size = std::max(k.size, e.size);
             c.seen = list_turn_;
         }
         if (kind != ListKind::change) {
@@ -288,6 +294,7 @@
                 if (c.seen != list_turn_) c.standing = Standing::gone;
             }
         }
+        if (usual_size_ == 0) usual_size_ = usual_size();
         update_rings();
         if (kind == ListKind::disk) {
             // What is on disk may be old in every line, so the list is asked for before anything else.
@@ -401,6 +408,7 @@
     struct Kind {
         Meter strains{kMoreSpan};
         double share = 1;
+        double size = 0;  // the largest that the list gave one of it; 0: none
     };
     struct Share {
         double quota = 0;
@@ -429,6 +437,23 @@
 
     // ---- the ring -------------------------------------------------------------------------------------
 
+    // Sizes have no unit, and load may lower what is listed, so a kind's is the largest seen of it and the
+    // usual one, set by the first list, a power of two: nodes that see lists of other ages agree on them.
+    double usual_size() const {
+        double sum = 0, caches = 0;
+        for (const Cache& c : caches_) {
+            if (c.origin || c.standing == Standing::gone) continue;
+            sum += kinds_[static_cast<std::size_t>(c.kind)].size;
+            ++caches;
+        }
+        return sum > 0 ? std::exp2(std::floor(std::log2(sum / caches))) : 0;
+    }
+    int points_of(const Cache& c) const {
+        const double size = kinds_[static_cast<std::size_t>(c.kind)].size;
+        if (usual_size_ == 0 || size == 0) return static_cast<int>(kPoints);
+        return static_cast<int>(std::clamp(kPoints * size / usual_size_, kPointsLeast, kPointsMost));
+    }
+
     // Only what came or went is touched: with hundreds of caches, sorting all points at each change of the
     // list took more of a node's CPU than everything else.
     void update_rings() {
@@ -438,14 +463,17 @@
         const auto before = [this](const Point& a, const Point& b) {
             return a.at != b.at ? a.at < b.at : hash_of(a.cache) < hash_of(b.cache);
         };
+        const auto stays = [&](const Cache& c) {
+            return wanted(c) == c.ring && (c.ring < 0 || points_of(c) == c.points);
+        };
         std::vector<std::vector<Point>> fresh(rings_.size());
         bool left = false;
         for (std::size_t i = 0; i < caches_.size(); ++i) {
             const Cache& c = caches_[i];
-            if (wanted(c) == c.ring) continue;
+            if (stays(c)) continue;
             left = left || c.ring >= 0;
             if (wanted(c) < 0) continue;
-            for (int p = 0; p < kPoints; ++p) {
+            for (int p = 0; p < points_of(c); ++p) {
                 const Point point{spot(c.hash + static_cast<std::uint64_t>(p)), static_cast<int>(i)};
                 fresh[static_cast<std::size_t>(c.zone)].push_back(point);
                 fresh.back().push_back(point);
@@ -455,8 +483,7 @@
             auto& ring = rings_[z];
             if (left) {
                 std::erase_if(ring, [&](const Point& p) {
-                    const Cache& c = caches_[static_cast<std::size_t>(p.cache)];
-                    return wanted(c) != c.ring;
+                    return !stays(caches_[static_cast<std::size_t>(p.cache)]);
                 });
             }
             std::sort(fresh[z].begin(), fresh[z].end(), before);
@@ -470,6 +497,7 @@
         for (std::size_t i = 0; i < caches_.size(); ++i) {
             Cache& c = caches_[i];
             c.ring = wanted(c);
+            c.points = points_of(c);
             if (c.origin && c.standing == Standing::ready && (origin_ < 0 || c.hash < hash_of(origin_)))
                 origin_ = static_cast<int>(i);
             if (c.ring < 0) continue;
@@ -491,7 +519,7 @@
         const auto& ring = rings_[static_cast<std::size_t>(zone)];
         if (ring.empty()) return -1;
         const int members = members_[static_cast<std::size_t>(zone)];
-        const double mean = static_cast<double>(outs_[static_cast<std::size_t>(zone)]) / members;
+        const double mean = outs_[static_cast<std::size_t>(zone)] / static_cast<double>(ring.size());  // a point
         const std::uint32_t at = spot((v.what.key ^ kRingSeed) + split(v, members));
         auto p = std::lower_bound(ring.begin(), ring.end(), at,
                                   [](const Point& x, std::uint32_t key) { return x.at < key; });
@@ -515,7 +543,7 @@
                 continue;
             }
             if (last_resort) return p->cache;
-            if (c.out > kFloor && c.out > kOverMean * mean) {
+            if (c.out > kFloor && c.out > kOverMean * mean * c.points) {
                 if (passed < 0) passed = p->cache;
                 continue;
             }
@@ -621,7 +649,7 @@
         warm *= std::min(
             1.0, static_cast<double>(zones * members_[static_cast<std::size_t>(zone)]) / members_.back());
         // What warm caches answer, not what they are sent: an overloaded fleet rejects most of that.
-        const double budget = kColdBudget * deployment_.fall_multiple * warm * answered_by_warm(now);
+        const double budget = kColdBudget * deployment_.fall_multiple * warm * c.points * answered_by_warm(now);
         // With many nodes each one's part is under one forward and no count holds it; and with many caches a
         // key too rare for a node to see as hot may alone push one over. What came more than once stays away,
         // and nodes that have not counted for long enough to tell take turns by hash.
@@ -633,16 +661,16 @@
         if (unit(mix(v.what.key * 3 ^ c.hash ^ turn)) >= warm) return false;
         return c.cold_sent.count(now) < std::max(budget, 1.0);
     }
-    // Answers to this node in one fall time of a warm cache, on average: this node's part of its capacity.
+    // Answers to this node in one fall time, a point of a warm cache: this node's part of its capacity.
     double answered_by_warm(double now) {
-        int answers = 0, caches = 0;
+        int answers = 0, points = 0;
         for (Cache& c : caches_) {
             if (c.origin || c.standing != Standing::ready || warmth(c, now) < 1) continue;
             const int n = c.pace.count(now);
             answers += n;
-            caches += n > 0 ? 1 : 0;
+            points += n > 0 ? c.points : 0;
         }
-        return caches == 0 ? 0 : deployment_.fall_time * answers / caches / kPaceSpan;
+        return points == 0 ? 0 : deployment_.fall_time * answers / points / kPaceSpan;
     }
 
     // Exception: machines of one kind that strain more than another take a lesser share of their keys, the
@@ -1051,6 +1079,7 @@
     std::vector<std::vector<Point>> rings_;
     std::vector<int> members_;  // caches a ring, and forwards out there
     std::vector<int> outs_;
+    double usual_size_ = 0;  // of a cache, by the first list that gave sizes; 0: none does
     int origin_ = -1;
     std::vector<Invocation> invs_;
     std::vector<Kind> kinds_;
--- a/src/decision/balancer.h
+++ b/src/decision/balancer.h
@@ -58,6 +58,7 @@
     double warm_within = 0;
     double fall_multiple = 0;
     double fall_time = 0;
+    bool sizes_listed = false;     // the list tells caches' sizes, if roughly or lowered by their load
     double beyond_share_part = 1;  // part of the billed value earned over a tenant's share
     std::vector<Operation> operations;
     std::vector<Tenant> tenants;
@@ -69,6 +70,7 @@
     int zone = 0;
     int kind = 0;
     int cell = 0;
+    double size = 0;  // against other caches' sizes, without a unit; load may lower it; 0: not told
     Standing standing = Standing::ready;
     double started = 0;  // 0: long ago
 };
--- a/src/sim/adapter.cpp
+++ b/src/sim/adapter.cpp
@@ -77,6 +77,7 @@
                 l.zone = small(entry, "locality", 0);
                 l.kind = small(entry, "machine", 0);
                 l.cell = small(entry, "group", 0);
+                l.size = number(entry, "scale", 0);
                 l.standing = read_standing(need(entry, "mode"), "mode");
                 l.started = seconds(entry, "since_us");
                 entries.push_back(l);
