--- a/src/config/deployment.cpp
+++ b/src/config/deployment.cpp
@@ -15,7 +15,8 @@
 constexpr Words<Scope, 3> kScopes{{{"all", Scope::all}, {"zone", Scope::zone}, {"cell", Scope::cell}}};
 
 constexpr Words<bool, 2> kAsks{{{"pushed", false}, {"on_request", true}}};
-constexpr Words<bool, 4> kWeights{{{"off", false}, {"nominal", true}, {"rough", true}, {"live", true}}};
+constexpr Words<Sizes, 4> kWeights{
+    {{"off", Sizes::untold}, {"nominal", Sizes::fixed}, {"rough", Sizes::fixed}, {"live", Sizes::live}}};
 constexpr Words<Standing, 3> kStandings{
     {{"SERVING", Standing::ready}, {"DRAINING", Standing::draining}, {"DELETED", Standing::gone}}};
 
@@ -54,7 +55,7 @@
     d.nodes = small(settings, "balancers", 1);
     d.tick = duration(settings, "granularity_us");
     if (const Value* how = find(settings, "discovery")) d.ask_for_list = word(*how, "discovery", kAsks);
-    if (const Value* weights = find(settings, "weights")) d.sizes_listed = word(*weights, "weights", kWeights);
+    if (const Value* weights = find(settings, "weights")) d.sizes = word(*weights, "weights", kWeights);
     if (const Value* rules = find(settings, "guarantees")) {
         d.ask_every = duration(*rules, "ask_every_us");
         d.answer_grace = duration(*rules, "grace_to_answer_us");
--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -79,6 +79,13 @@
 constexpr double kKindLeast = 0.4;   // machines further apart than that are a fault, not a kind
 constexpr int kKindsMost = 64;       // further ones share the last row, however the list numbers them
 
+constexpr double kHeldMost = 3.0;    // invocations a core, as listed, from which a cache is crowded,
+constexpr double kHeldTimes = 1.5;   // if also as many times its zone's mean: with all full none is spared
+constexpr double kCrowdedCut = 0.6;  // of its share left, a list;
+constexpr double kCrowdedUp = 0.05;  // back slowly once it holds under half as much
+constexpr double kCrowdedLeast = 0.05;
+constexpr double kZoneStep = 0.1;  // change of reach a list, while the own zone is more crowded than the rest
+
 constexpr double kReachStrain = 0.4;  // part of strained endings from which more keys reach out
 constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
 constexpr double kReachDown = 0.01;   // back in half a minute, or copies would be torn again and again
@@ -186,6 +193,8 @@
     int kind = 0;
     int ring = -1;  // the zone whose ring holds its points; -1: none
     int points = 0;  // of them there
+    double listed = 0;  // its size as listed last, lowered by its load where sizes are live
+    double share = 1;   // of its keys that it takes, by the load that the list tells
     bool origin = false;
     Standing standing = Standing::gone;
     double cold_since = -1e9;  // when it last started, as told or as guessed after a silence
@@ -286,7 +295,8 @@
             c.origin = deployment_.origin_kind >= 0 && e.kind == deployment_.origin_kind;
             c.standing = e.standing;
             Kind& k = kinds_[static_cast<std::size_t>(c.kind)];
-            if (deployment_.sizes_listed && e.size > 0) k.size = std::max(k.size, e.size);
+            if (deployment_.sizes != Sizes::untold && e.size > 0) k.size = std::max(k.size, e.size);
+            c.listed = e.size;
             c.seen = list_turn_;
         }
         if (kind != ListKind::change) {
@@ -296,6 +306,7 @@
         }
         if (usual_size_ == 0) usual_size_ = usual_size();
         update_rings();
+        if (deployment_.sizes == Sizes::live && kind != ListKind::disk) weigh_listed_load();
         if (kind == ListKind::disk) {
             // What is on disk may be old in every line, so the list is asked for before anything else.
             if (deployment_.ask_for_list) host_.watch_list();
@@ -534,7 +545,7 @@
             if (!may_forward(v, p->cache, now)) continue;
             if (!last_resort && tried(v, p->cache)) continue;
             if (!welcome_cold(c, v, zone, now)) continue;
-            if (!last_resort && !within_kind_share(c, v)) continue;
+            if (!last_resort && !within_share(c, v)) continue;
             if (!last_resort && !healthy(c, now) && !trial_due(c, v, now)) continue;
             if (!c.gate.open(c.out, now)) {
                 // Further round, a cache lacks the key: a forward would miss, and push out what it holds.
@@ -675,8 +686,42 @@
 
     // Exception: machines of one kind that strain more than another take a lesser share of their keys, the
     // same ones at every node with that share. Nobody tells speeds, and the list's sizes may mislead.
-    bool within_kind_share(const Cache& c, const Invocation& v) const {
-        return unit(mix(v.what.key * 5 ^ c.hash)) < kinds_[static_cast<std::size_t>(c.kind)].share;
+    // So does a cache that the list shows crowded; a key that this node often sees goes by chance, since it
+    // alone may be more than a cache carries.
+    bool within_share(const Cache& c, const Invocation& v) {
+        const double share = kinds_[static_cast<std::size_t>(c.kind)].share * c.share;
+        return share >= 1 || (v.came > 1 ? draw() : unit(mix(v.what.key * 5 ^ c.hash))) < share;
+    }
+    double held(const Cache& c) const {
+        return c.listed > 0 ? kinds_[static_cast<std::size_t>(c.kind)].size / c.listed - 1 : 0;
+    }
+    // Where the list lowers sizes by load, it tells every node the same load, though late: one node of
+    // hundreds sees too few endings to know which caches are crowded, or that its zone is.
+    void weigh_listed_load() {
+        std::vector<double> sums(rings_.size()), sizes(rings_.size());
+        for (const Cache& c : caches_) {
+            if (c.ring < 0) continue;
+            for (std::size_t z : {static_cast<std::size_t>(c.ring), rings_.size() - 1}) {
+                sums[z] += held(c) * c.points;
+                sizes[z] += c.points;
+            }
+        }
+        for (Cache& c : caches_) {
+            if (c.ring < 0) continue;
+            const auto z = static_cast<std::size_t>(c.ring);
+            const double h = held(c);
+            if (h > kHeldMost && h > kHeldTimes * sums[z] / sizes[z]) {
+                c.share = std::max(kCrowdedLeast, c.share * kCrowdedCut);
+            } else if (h < kHeldMost / 2) {
+                c.share = std::min(1.0, c.share + kCrowdedUp);
+            }
+        }
+        const auto own = static_cast<std::size_t>(deployment_.zone);
+        if (sizes[own] <= 0 || sizes.back() <= sizes[own]) return;
+        const double mean = sums[own] / sizes[own];
+        const double rest = (sums.back() - sums[own]) / (sizes.back() - sizes[own]);
+        const bool more = mean > kHeldMost / 2 && mean > kHeldTimes * rest;
+        reach_ = std::clamp(reach_ + (more ? kZoneStep : mean < rest ? -kZoneStep : -kReachDown), 0.0, 1.0);
     }
     void weigh_kinds(double now) {
         double least = 1;
@@ -1038,7 +1083,8 @@
         // One second of a node with little traffic is chance, and shedding by chance spares the greedy.
         const double steady = endings_.count(now) < kEnough ? more_endings_.mean(now) : strained_;
         const bool tight = strained_ > kReachStrain || !queue_.empty();
-        reach_ = std::clamp(reach_ + (tight ? kReachUp : -kReachDown), 0.0, 1.0);
+        if (deployment_.sizes != Sizes::live)
+            reach_ = std::clamp(reach_ + (tight ? kReachUp : -kReachDown), 0.0, 1.0);
         pressure_ = std::clamp(pressure_ + (steady > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
         std::vector<double> parts;
         for (Share& s : tenants_) {
--- a/src/decision/balancer.h
+++ b/src/decision/balancer.h
@@ -12,6 +12,7 @@
 
 enum class Repeat { idempotent, deduplicated, non_idempotent };
 enum class Scope { all, zone, cell };
+enum class Sizes { untold, fixed, live };  // live: lowered by what the cache holds, and late
 enum class Standing { ready, draining, gone };
 enum class ListKind { change, whole, disk };
 enum class Ending { succeeded, errored, busy, timed_out, refused, reset, cancelled, not_sent, miss };
@@ -58,7 +59,7 @@
     double warm_within = 0;
     double fall_multiple = 0;
     double fall_time = 0;
-    bool sizes_listed = false;     // the list tells caches' sizes, if roughly or lowered by their load
+    Sizes sizes = Sizes::untold;   // what the list tells of caches' sizes
     double beyond_share_part = 1;  // part of the billed value earned over a tenant's share
     std::vector<Operation> operations;
     std::vector<Tenant> tenants;
