--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -84,7 +84,7 @@
 constexpr double kCrowdedCut = 0.6;  // of its share left, a list;
 constexpr double kCrowdedUp = 0.05;  // back slowly once it holds under half as much
 constexpr double kCrowdedLeast = 0.05;
-constexpr double kZoneStep = 0.1;  // change of reach a list, while the own zone is more crowded than the rest
+constexpr double kZoneStep = 0.06;  // change of reach a look, while the list shows one side more crowded
 
 constexpr double kReachStrain = 0.4;  // part of strained endings from which more keys reach out
 constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
@@ -536,6 +536,7 @@
                                   [](const Point& x, std::uint32_t key) { return x.at < key; });
         ++walk_turn_;
         int passed = -1, jammed = 0, seen = 0;
+        bool declined = false;
         for (std::size_t steps = 0; steps < ring.size() && seen < members; ++steps, ++p) {
             if (p == ring.end()) p = ring.begin();
             Cache& c = caches_[static_cast<std::size_t>(p->cache)];
@@ -544,8 +545,13 @@
             ++seen;
             if (!may_forward(v, p->cache, now)) continue;
             if (!last_resort && tried(v, p->cache)) continue;
+            // What a crowded cache declines would be more than its even share for a cold one next to it.
+            if (declined && warmth(c, now) < 1) continue;
             if (!welcome_cold(c, v, zone, now)) continue;
-            if (!last_resort && !within_share(c, v)) continue;
+            if (!last_resort && !within_share(c, v)) {
+                declined = true;
+                continue;
+            }
             if (!last_resort && !healthy(c, now) && !trial_due(c, v, now)) continue;
             if (!c.gate.open(c.out, now)) {
                 // Further round, a cache lacks the key: a forward would miss, and push out what it holds.
@@ -720,8 +726,7 @@
         if (sizes[own] <= 0 || sizes.back() <= sizes[own]) return;
         const double mean = sums[own] / sizes[own];
         const double rest = (sums.back() - sums[own]) / (sizes.back() - sizes[own]);
-        const bool more = mean > kHeldMost / 2 && mean > kHeldTimes * rest;
-        reach_ = std::clamp(reach_ + (more ? kZoneStep : mean < rest ? -kZoneStep : -kReachDown), 0.0, 1.0);
+        lean_ = mean < rest ? -1 : mean > kHeldMost / 2 && mean > kHeldTimes * rest ? 1 : 0;
     }
     void weigh_kinds(double now) {
         double least = 1;
@@ -1083,8 +1088,8 @@
         // One second of a node with little traffic is chance, and shedding by chance spares the greedy.
         const double steady = endings_.count(now) < kEnough ? more_endings_.mean(now) : strained_;
         const bool tight = strained_ > kReachStrain || !queue_.empty();
-        if (deployment_.sizes != Sizes::live)
-            reach_ = std::clamp(reach_ + (tight ? kReachUp : -kReachDown), 0.0, 1.0);
+        const double step = lean_ == 0 ? (tight ? kReachUp : -kReachDown) : lean_ * kZoneStep;
+        reach_ = std::clamp(reach_ + step, 0.0, 1.0);
         pressure_ = std::clamp(pressure_ + (steady > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
         std::vector<double> parts;
         for (Share& s : tenants_) {
@@ -1143,6 +1148,7 @@
     double strained_ = 0;  // part of the last second's endings at caches, as of the last look
     double pressure_ = 0;
     double reach_ = 0;
+    int lean_ = 0;  // 1: by the list, the own zone is more crowded than the rest; -1: less; 0: neither, or untold
     double looked_ = 0;
     double quotas_ = 0;  // of all tenants together, what all nodes together are made for
     double keep_ = 1e9;  // s that an idle connection is kept
