--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -84,6 +84,9 @@
 constexpr double kCrowdedCut = 0.6;  // of its share left, a list;
 constexpr double kCrowdedUp = 0.05;  // back slowly once it holds under half as much
 constexpr double kCrowdedLeast = 0.05;
+constexpr double kShedUp = 0.1;  // of reads turned away, a list, while all that a node reaches is crowded
+constexpr double kShedDown = 0.05;
+constexpr double kShedMost = 0.8;
 constexpr double kZoneStep = 0.06;  // change of reach a look, while the list shows one side more crowded
 
 constexpr double kReachStrain = 0.4;  // part of strained endings from which more keys reach out
@@ -343,7 +346,7 @@
         look(now);
         v.over_share = over_share(v, now);
         v.came = count(v.what);
-        if ((v.over_share && draw() < pressure_) || v.useful - now <= 2 * deployment_.tick) {
+        if ((v.over_share && draw() < pressure_) || (!a.write && draw() < shed_) || v.useful - now <= 2 * deployment_.tick) {
             close(v);
             return;
         }
@@ -726,6 +729,9 @@
         if (sizes[own] <= 0 || sizes.back() <= sizes[own]) return;
         const double mean = sums[own] / sizes[own];
         const double rest = (sums.back() - sums[own]) / (sizes.back() - sizes[own]);
+        const double reached = mean * (1 - reach_) + sums.back() / sizes.back() * reach_;
+        const double shed = reached > kHeldMost ? kShedUp : reached > kHeldMost / 2 ? 0 : -kShedDown;
+        shed_ = std::clamp(shed_ + shed, 0.0, kShedMost);
         lean_ = mean < rest ? -1 : mean > kHeldMost / 2 && mean > kHeldTimes * rest ? 1 : 0;
     }
     void weigh_kinds(double now) {
@@ -1083,12 +1089,13 @@
         if (now - looked_ < kPressureLook) return;
         looked_ = now;
         close_idle(now);
-        weigh_kinds(now);
+        const bool live = deployment_.sizes == Sizes::live;
+        if (!live) weigh_kinds(now);
         strained_ = endings_.mean(now);
         // One second of a node with little traffic is chance, and shedding by chance spares the greedy.
         const double steady = endings_.count(now) < kEnough ? more_endings_.mean(now) : strained_;
         const bool tight = strained_ > kReachStrain || !queue_.empty();
-        const double step = lean_ == 0 ? (tight ? kReachUp : -kReachDown) : lean_ * kZoneStep;
+        const double step = live ? lean_ * kZoneStep : tight ? kReachUp : -kReachDown;
         reach_ = std::clamp(reach_ + step, 0.0, 1.0);
         pressure_ = std::clamp(pressure_ + (steady > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
         std::vector<double> parts;
@@ -1148,6 +1155,7 @@
     double strained_ = 0;  // part of the last second's endings at caches, as of the last look
     double pressure_ = 0;
     double reach_ = 0;
+    double shed_ = 0;  // part of the reads turned away by the load that the list tells
     int lean_ = 0;  // 1: by the list, the own zone is more crowded than the rest; -1: less; 0: neither, or untold
     double looked_ = 0;
     double quotas_ = 0;  // of all tenants together, what all nodes together are made for
