--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -82,11 +82,12 @@
 constexpr double kHeldMost = 3.0;    // invocations a core, as listed, from which a cache is crowded,
 constexpr double kHeldTimes = 1.5;   // if also as many times its zone's mean: with all full none is spared
 constexpr double kCrowdedCut = 0.6;  // of its share left, a list;
-constexpr double kCrowdedUp = 0.05;  // back slowly once it holds under half as much
+constexpr double kCrowdedUp = 0.1;  // back slowly once it holds under half as much
 constexpr double kCrowdedLeast = 0.05;
-constexpr double kShedUp = 0.1;  // of reads turned away, a list, while all that a node reaches is crowded
-constexpr double kShedDown = 0.05;
-constexpr double kShedMost = 0.8;
+constexpr double kAdmitCut = 0.8;  // of the reads let in, a list, while all that a node reaches is crowded
+constexpr double kAdmitUp = 0.1;   // of all, let in again a list
+constexpr double kAdmitLeast = 0.2;
+constexpr double kZoneStepLeast = 0.01;  // halved at each turn down to this, or late news makes it swing
 constexpr double kZoneStep = 0.06;  // change of reach a look, while the list shows one side more crowded
 
 constexpr double kReachStrain = 0.4;  // part of strained endings from which more keys reach out
@@ -346,7 +347,7 @@
         look(now);
         v.over_share = over_share(v, now);
         v.came = count(v.what);
-        if ((v.over_share && draw() < pressure_) || (!a.write && draw() < shed_) || v.useful - now <= 2 * deployment_.tick) {
+        if ((v.over_share && draw() < pressure_) || (!a.write && draw() >= admitted_) || v.useful - now <= 2 * deployment_.tick) {
             close(v);
             return;
         }
@@ -730,9 +731,16 @@
         const double mean = sums[own] / sizes[own];
         const double rest = (sums.back() - sums[own]) / (sizes.back() - sizes[own]);
         const double reached = mean * (1 - reach_) + sums.back() / sizes.back() * reach_;
-        const double shed = reached > kHeldMost ? kShedUp : reached > kHeldMost / 2 ? 0 : -kShedDown;
-        shed_ = std::clamp(shed_ + shed, 0.0, kShedMost);
-        lean_ = mean < rest ? -1 : mean > kHeldMost / 2 && mean > kHeldTimes * rest ? 1 : 0;
+        if (reached > kHeldMost) {
+            admitted_ = std::max(admitted_ * kAdmitCut, kAdmitLeast);
+        } else if (reached < kHeldMost / 2) {
+            admitted_ = std::min(admitted_ + kAdmitUp, 1.0);
+        }
+        const double least = kHeldMost / 2;
+        const int lean = mean > std::max(least, kHeldTimes * rest) ? 1 : rest > std::max(least, kHeldTimes * mean) ? -1 : 0;
+        if (lean * leant_ < 0) zone_step_ = std::max(zone_step_ / 2, kZoneStepLeast);
+        if (lean != 0) leant_ = lean;
+        lean_ = lean;
     }
     void weigh_kinds(double now) {
         double least = 1;
@@ -1095,7 +1103,7 @@
         // One second of a node with little traffic is chance, and shedding by chance spares the greedy.
         const double steady = endings_.count(now) < kEnough ? more_endings_.mean(now) : strained_;
         const bool tight = strained_ > kReachStrain || !queue_.empty();
-        const double step = live ? lean_ * kZoneStep : tight ? kReachUp : -kReachDown;
+        const double step = live ? lean_ * zone_step_ : tight ? kReachUp : -kReachDown;
         reach_ = std::clamp(reach_ + step, 0.0, 1.0);
         pressure_ = std::clamp(pressure_ + (steady > kStrained ? kPressureStep : -kPressureStep), 0.0, 1.0);
         std::vector<double> parts;
@@ -1155,7 +1163,9 @@
     double strained_ = 0;  // part of the last second's endings at caches, as of the last look
     double pressure_ = 0;
     double reach_ = 0;
-    double shed_ = 0;  // part of the reads turned away by the load that the list tells
+    double admitted_ = 1;  // part of the reads let in, by the load that the list tells
+    double zone_step_ = kZoneStep;
+    int leant_ = 0;  // which way last
     int lean_ = 0;  // 1: by the list, the own zone is more crowded than the rest; -1: less; 0: neither, or untold
     double looked_ = 0;
     double quotas_ = 0;  // of all tenants together, what all nodes together are made for
