--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -696,10 +696,11 @@
 
     // Exception: machines of one kind that strain more than another take a lesser share of their keys, the
     // same ones at every node with that share. Nobody tells speeds, and the list's sizes may mislead.
-    // So does a cache that the list shows crowded; a key that this node often sees goes by chance, since it
-    // alone may be more than a cache carries.
+    // A key that this node often sees goes by chance, since it alone may be more than a cache carries; what
+    // a cache that the list shows crowded declines does so too, as no node sees which keys those are.
     bool within_share(const Cache& c, const Invocation& v) {
-        const double share = kinds_[static_cast<std::size_t>(c.kind)].share * c.share;
+        if (c.share < 1 && draw() >= c.share) return false;
+        const double share = kinds_[static_cast<std::size_t>(c.kind)].share;
         return share >= 1 || (v.came > 1 ? draw() : unit(mix(v.what.key * 5 ^ c.hash))) < share;
     }
     double held(const Cache& c) const {
