Too late forwards turn reads away; kind shares by chance where counts cannot show hot keys

Change: over a tenth of the last second's forwards late: 5% fewer reads let in a look, 4 points back otherwise; kind shares go by chance when three even shares of a ring exceed 128 counted invocations.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -87,6 +87,9 @@
 constexpr double kAdmitCut = 0.8;  // of the reads let in, a list, while all that a node reaches is crowded
 constexpr double kAdmitUp = 0.1;   // of all, let in again a list
 constexpr double kAdmitLeast = 0.2;
+constexpr double kLostMost = 0.1;  // of forwards that come too late, from which reads are turned away,
+constexpr double kLostCut = 0.95;  // at each look
+constexpr double kLostUp = 0.04;
 constexpr double kZoneStepLeast = 0.01;  // halved at each turn down to this, or late news makes it swing
 constexpr double kZoneStep = 0.06;  // change of reach a look, while the list shows one side more crowded
 
@@ -696,12 +699,13 @@
 
     // Exception: machines of one kind that strain more than another take a lesser share of their keys, the
     // same ones at every node with that share. Nobody tells speeds, and the list's sizes may mislead.
-    // A key that this node often sees goes by chance, since it alone may be more than a cache carries; what
-    // a cache that the list shows crowded declines does so too, as no node sees which keys those are.
+    // A key that this node often sees goes by chance, since it alone may be more than a cache carries; so do
+    // all where the caches are too many for counts to tell such keys, and what a crowded cache declines.
     bool within_share(const Cache& c, const Invocation& v) {
         if (c.share < 1 && draw() >= c.share) return false;
         const double share = kinds_[static_cast<std::size_t>(c.kind)].share;
-        return share >= 1 || (v.came > 1 ? draw() : unit(mix(v.what.key * 5 ^ c.hash))) < share;
+        const bool seen = kHotLeast * members_.back() <= kHotSample * pooled();
+        return share >= 1 || (v.came > 1 || !seen ? draw() : unit(mix(v.what.key * 5 ^ c.hash))) < share;
     }
     double held(const Cache& c) const {
         return c.listed > 0 ? kinds_[static_cast<std::size_t>(c.kind)].size / c.listed - 1 : 0;
@@ -807,6 +811,7 @@
                                 ending == Ending::refused || took > kStrainPart * op.latency_objective;
             endings_.add(now, strain);
             more_endings_.add(now, strain);
+            lost_.add(now, ending == Ending::timed_out || took > op.latency_objective);
             kinds_[static_cast<std::size_t>(c.kind)].strains.add(now, strain);
         }
         switch (ending) {
@@ -1101,6 +1106,10 @@
         const bool live = deployment_.sizes == Sizes::live;
         if (!live) weigh_kinds(now);
         strained_ = endings_.mean(now);
+        if (!live) {
+            const bool wasted = lost_.count(now) >= kEnough && lost_.mean(now) > kLostMost;
+            admitted_ = std::clamp(wasted ? admitted_ * kLostCut : admitted_ + kLostUp, kAdmitLeast, 1.0);
+        }
         // One second of a node with little traffic is chance, and shedding by chance spares the greedy.
         const double steady = endings_.count(now) < kEnough ? more_endings_.mean(now) : strained_;
         const bool tight = strained_ > kReachStrain || !queue_.empty();
@@ -1156,6 +1165,7 @@
     std::array<int, 2> counted_{};
     Meter endings_{1.0};
     Meter more_endings_{kMoreSpan};
+    Meter lost_{1.0};  // timed out or past the objective, at caches
     unsigned list_turn_ = 0;
     unsigned walk_turn_ = 1U << 31;
     int list_failures_ = 0;
