--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -84,6 +84,7 @@
 constexpr double kCrowdedCut = 0.6;  // of its share left, a list;
 constexpr double kCrowdedUp = 0.1;  // back slowly once it holds under half as much
 constexpr double kCrowdedLeast = 0.05;
+constexpr double kAdmitHeld = 5.0;  // a core, on average; between three quarters of it and this nothing changes
 constexpr double kAdmitCut = 0.8;  // of the reads let in, a list, while all that a node reaches is crowded
 constexpr double kAdmitUp = 0.1;   // of all, let in again a list
 constexpr double kAdmitLeast = 0.2;
@@ -736,9 +737,9 @@
         const double mean = sums[own] / sizes[own];
         const double rest = (sums.back() - sums[own]) / (sizes.back() - sizes[own]);
         const double reached = mean * (1 - reach_) + sums.back() / sizes.back() * reach_;
-        if (reached > kHeldMost) {
+        if (reached > kAdmitHeld) {
             admitted_ = std::max(admitted_ * kAdmitCut, kAdmitLeast);
-        } else if (reached < kHeldMost / 2) {
+        } else if (reached < 0.75 * kAdmitHeld) {
             admitted_ = std::min(admitted_ + kAdmitUp, 1.0);
         }
         const double least = kHeldMost / 2;
