SIGHUP hands new settings to the running module, there and back; connections lose their price

The node took only 'discovery' on SIGHUP. Now Node::reload checks all (cannot_be_live, placed_by), hands what was asked so far over under the old settings, calls Balancer::redeployed and tells the whole list by the new names. Open invocations keep the operation rows they came with (Invocation::rows). 'weights' and a host's 'share' are read and checked. A loopback test switches four times under load with forwards held over each switch and counts answers and forwards.

--- a/src/config/deployment.cpp
+++ b/src/config/deployment.cpp
@@ -75,10 +75,6 @@
         d.connection_idle = duration(*allowed, "conn_idle_us");
         if (flag(*allowed, "retry_after")) d.longest_retry_advice = duration(*allowed, "max_retry_after_us");
     }
-    if (const Value* prices = find(settings, "prices")) {
-        d.connection_price = number(*prices, "connection", 0);
-        d.handshake_price = number(*prices, "handshake", 0);
-    }
     if (const Value* facts = find(settings, "specifics")) {
         const Value* mode = find(*facts, "mode");
         if (mode != nullptr && text(*mode, "mode") == "aside")
--- a/src/config/deployment.h
+++ b/src/config/deployment.h
@@ -15,6 +15,7 @@
 // What the indices in Deployment, Listing and Arrival stand for.
 struct Names {
     std::vector<std::string> zones, kinds, operations, tenants;
+    bool operator==(const Names&) const = default;
 };
 int index_of(const std::vector<std::string>& names, std::string_view name);  // -1: there is none
 
--- a/src/config/station.cpp
+++ b/src/config/station.cpp
@@ -2,6 +2,7 @@
 
 #include <rapidjson/error/en.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 
@@ -47,6 +48,8 @@
     if (all || find(entry, "site") != nullptr) s.zone = named(names.zones, entry, "site");
     if (all || find(entry, "class") != nullptr) s.kind = named(names.kinds, entry, "class");
     s.cell = small(entry, "block", all ? 0 : -1);
+    s.size = number(entry, "share", 0);
+    if (s.size < 0) throw BadInput("field 'share' is under 0");
     s.born = number(entry, "born_ms", 0) / 1e3;
     return s;
 }
@@ -74,6 +77,27 @@
     return list;
 }
 
+std::string cannot_be_live(const Station& running, const Station& wanted) {
+    const auto zone = [](const Station& s) {
+        const auto az = static_cast<std::size_t>(s.deployment.zone);
+        return az < s.names.zones.size() ? s.names.zones[az] : std::string();
+    };
+    const auto origin = [](const Station& s) {
+        const auto kind = static_cast<std::size_t>(std::max(0, s.deployment.origin_kind));
+        return s.deployment.origin_kind >= 0 && kind < s.names.kinds.size() ? s.names.kinds[kind] : std::string();
+    };
+    const char* field = nullptr;
+    if (wanted.listen != running.listen) field = "'listen'";
+    if (wanted.descriptors != running.descriptors) field = "'limits.sockets'";
+    if (wanted.memory_mb != running.memory_mb) field = "'limits.memory_mb'";
+    if (zone(wanted) != zone(running)) field = "'az' (the node's own zone) in 'settings'";
+    if (wanted.deployment.node != running.deployment.node) field = "'my_number' in 'settings'";
+    // Forwards that are out there are counted as the origin's, and reads wait for them.
+    if (origin(wanted) != origin(running)) field = "'specifics.origin_kind' in 'settings'";
+    if (field == nullptr) return {};
+    return std::string("field ") + field + " cannot change while the node runs";
+}
+
 Station read_station(const std::string& path) {
     std::ifstream file(path);
     if (!file) throw BadInput("cannot read the file");
--- a/src/config/station.h
+++ b/src/config/station.h
@@ -20,6 +20,7 @@
     int zone = -1;
     int kind = -1;
     int cell = -1;
+    double size = 0;  // as `share` gives it; 0: not told
     Standing standing = Standing::ready;
     double born = 0;  // wall clock; 0: long ago
 };
@@ -46,5 +47,7 @@
 
 ServerList read_server_list(const rapidjson::Value& list, const Names& names);
 Station read_station(const std::string& path);
+// Why a running node cannot take these settings in the place of those; empty: it can.
+std::string cannot_be_live(const Station& running, const Station& wanted);
 
 }  // namespace brookrelay
--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <cmath>
 #include <map>
+#include <memory>
 #include <numeric>
 #include <random>
 
@@ -66,8 +67,6 @@
 
 constexpr double kKeepGrow = 1.03;  // of the time idle connections are kept, at each look without a refusal
 constexpr double kQuickRefusal = 0.8;    // of the connect time-out
-constexpr double kHandshakeTimes = 1.5;  // its price: it also costs the cache work and the client a wait
-constexpr double kGapPart = 0.25;        // of each newly seen idle time in the usual one
 constexpr double kKeepLeast = 0.05;  // s; below this a burst to one cache would open a connection for each
 
 constexpr int kEnough = 16;        // endings in a second that tell strain from chance; with fewer, those of
@@ -220,7 +219,6 @@
     Meter cold_sent;
     bool connected = false;  // this node may hold connections to it
     double used = 0;         // when a forward of this node last ended there
-    double gap = 0;          // s that its connections usually lie idle between two uses; 0: not known
     unsigned seen = 0;
 };
 
@@ -237,6 +235,7 @@
 struct Invocation {
     bool open = false;
     Arrival what;
+    std::shared_ptr<const std::vector<Operation>> rows;  // the operations as they were when it came
 
     double due = 0;      // when its client stops waiting
     double in_time = 0;  // until when an answer meets the objective
@@ -260,21 +259,28 @@
 class Decisions final : public Balancer {
   public:
     Decisions(const Deployment& deployment, std::uint64_t seed, Host& host)
-        : deployment_(deployment),
-          host_(host),
-          chance_(static_cast<std::uint32_t>(mix(seed))),
-          rings_(static_cast<std::size_t>(std::max(1, deployment.zones)) + 1),
-          tenants_(deployment.tenants.size()) {
-        for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
-        for (const Tenant& t : deployment.tenants) quotas_ += t.quota;
-        most_retries_ = std::clamp(kRetryMost / std::max(1, deployment.nodes), kRetryLeast, kRetryNode);
+        : host_(host), chance_(static_cast<std::uint32_t>(mix(seed))) {
+        settle_in(deployment);
         retries_ = most_retries_ / 2;
         origin_gate_.limit =
             std::clamp(kOriginStart / std::max(1, deployment.nodes), kLimitLeast, kOriginStartNode);
-        first_time_left_.resize(deployment.operations.size());
-        for (const Operation& op : deployment.operations) {
-            origin_target_ = std::min(origin_target_, kOriginPart * op.latency_objective);
+    }
+
+    // What this node learned of caches, of the origin and of its traffic stays; what the settings say of them
+    // goes, and sizes and load are learned anew from the list that follows.
+    void redeployed(double, const Deployment& deployment) override {
+        const bool same_sizes = deployment.sizes == deployment_.sizes;
+        settle_in(deployment);
+        for (Cache& c : caches_) {
+            c.ring = -1;
+            if (!same_sizes) c.share = 1;
         }
+        if (same_sizes) return;
+        for (Kind& k : kinds_) k.size = 0;
+        usual_size_ = 0;
+        admitted_ = 1;
+        lean_ = leant_ = 0;
+        zone_step_ = kZoneStep;
     }
 
     void listed(double, ListKind kind, const std::vector<Listing>& entries) override {
@@ -335,6 +341,7 @@
         Invocation& v = invs_[static_cast<std::size_t>(a.inv)];
         v.open = true;
         v.what = a;
+        v.rows = rows_;
         if (!a.has_key) v.what.key = (static_cast<std::uint64_t>(chance_()) << 24) ^ chance_();
         const Operation& op = operation(v);
 
@@ -376,7 +383,6 @@
         --c.out;
         count_out(c, -1);
         c.used = now;
-        if (c.out == 0) part_with(c);
         const Ending told = lost_alone(c, ending, now) ? Ending::errored : ending;
         judge(c, v, f, told, took, now);
         if (over) {
@@ -436,6 +442,23 @@
         Meter arrivals{kPaceSpan};
     };
 
+    void settle_in(const Deployment& deployment) {
+        deployment_ = deployment;
+        rows_ = std::make_shared<const std::vector<Operation>>(deployment.operations);
+        rings_.assign(static_cast<std::size_t>(std::max(1, deployment.zones)) + 1, {});
+        members_.assign(rings_.size(), 0);
+        outs_.assign(rings_.size(), 0);
+        tenants_.assign(deployment.tenants.size(), {});
+        for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
+        most_retries_ = std::clamp(kRetryMost / std::max(1, deployment.nodes), kRetryLeast, kRetryNode);
+        retries_ = std::min(retries_, most_retries_);
+        first_time_left_.assign(deployment.operations.size(), 0);
+        origin_target_ = 1;
+        for (const Operation& op : deployment.operations) {
+            origin_target_ = std::min(origin_target_, kOriginPart * op.latency_objective);
+        }
+    }
+
     // A repeat's objective has run since its client's first try. A client's last try waits until the client
     // timeout and so tells when that was; a repeat with as much time as a first try tells nothing.
     double spent_before(const Arrival& a, const Operation& op) {
@@ -446,7 +469,7 @@
     }
 
     const Operation& operation(const Invocation& v) const {
-        return deployment_.operations[static_cast<std::size_t>(v.what.operation)];
+        return (*v.rows)[static_cast<std::size_t>(v.what.operation)];
     }
     double draw() { return static_cast<double>(chance_()) / 16777216.0; }
     static std::uint64_t token(Timer kind, std::uint32_t turn, int inv) {
@@ -733,9 +756,10 @@
             }
         }
         const auto own = static_cast<std::size_t>(deployment_.zone);
-        if (sizes[own] <= 0 || sizes.back() <= sizes[own]) return;
+        if (sizes[own] <= 0) return;
         const double mean = sums[own] / sizes[own];
-        const double rest = (sums.back() - sums[own]) / (sizes.back() - sizes[own]);
+        const bool alone = sizes.back() <= sizes[own];
+        const double rest = alone ? mean : (sums.back() - sums[own]) / (sizes.back() - sizes[own]);
         const double reached = mean * (1 - reach_) + sums.back() / sizes.back() * reach_;
         if (reached > kAdmitHeld) {
             admitted_ = std::max(admitted_ * kAdmitCut, kAdmitLeast);
@@ -743,7 +767,9 @@
             admitted_ = std::min(admitted_ + kAdmitUp, 1.0);
         }
         const double least = kHeldMost / 2;
-        const int lean = mean > std::max(least, kHeldTimes * rest) ? 1 : rest > std::max(least, kHeldTimes * mean) ? -1 : 0;
+        const int lean = mean > std::max(least, kHeldTimes * rest)   ? 1
+                         : rest > std::max(least, kHeldTimes * mean) ? -1
+                                                                     : 0;
         if (lean * leant_ < 0) zone_step_ = std::max(zone_step_ / 2, kZoneStepLeast);
         if (lean != 0) leant_ = lean;
         lean_ = lean;
@@ -896,12 +922,6 @@
         ++v.out;
         ++c.out;
         count_out(c, 1);
-        if (c.out == 1 && c.used == 0 && !c.origin && quotas_ > 0) {
-            c.gap = members_.back() * deployment_.nodes / quotas_;  // as if all nodes and caches were alike
-        } else if (c.out == 1 && c.used > 0) {
-            const double idle = now - c.used;
-            c.gap = (c.gap == 0 ? idle : c.gap) * (1 - kGapPart) + idle * kGapPart;
-        }
         c.connected = true;
         if (c.unanswered == 0) c.unanswered = now;
         if (!c.origin) c.cold_sent.add(now, 1);
@@ -1125,31 +1145,19 @@
         if (!parts.empty()) node_part_ = std::clamp(median(parts), node_part_, 1.0);
     }
 
-    // An idle connection is kept for as long as that costs less than opening it anew, at the prices told;
-    // for less after refusals: with many nodes a cache's table is full of connections that lie idle.
-    double worth_keeping() const {
-        if (deployment_.connection_price <= 0 || quotas_ <= 0) return most_kept();
-        return std::min(most_kept(), kHandshakeTimes * 100 * members_.back() * deployment_.handshake_price /
-                                         (deployment_.connection_price * quotas_));
-    }
+    // An idle connection is kept until it closes by itself; for less after refusals: with many nodes a cache's
+    // table is full of connections that lie idle.
     void close_idle(double now) {
-        keep_ = std::min(keep_ * kKeepGrow, worth_keeping());
-        if (keep_ >= most_kept()) return;  // they close by themselves by then
+        keep_ = std::min(keep_ * kKeepGrow, deployment_.connection_idle > 0 ? deployment_.connection_idle : 1e9);
         for (Cache& c : caches_) {
-            if (c.connected && c.out == 0 && now - c.used >= keep_) release(c);
+            if (!c.connected || c.out > 0 || now - c.used < keep_) continue;
+            c.connected = false;
+            host_.release(static_cast<int>(&c - caches_.data()));
         }
     }
-    // What usually lies idle for longer than keeping pays is closed at once: waiting first costs both.
-    void part_with(Cache& c) {
-        if (c.gap > keep_ && keep_ < most_kept()) release(c);
-    }
-    void release(Cache& c) {
-        c.connected = false;
-        host_.release(static_cast<int>(&c - caches_.data()));
-    }
-    double most_kept() const { return deployment_.connection_idle > 0 ? deployment_.connection_idle : 1e9; }
 
-    const Deployment deployment_;
+    Deployment deployment_;
+    std::shared_ptr<const std::vector<Operation>> rows_;
     Host& host_;
     std::ranlux24_base chance_;
     std::vector<Cache> caches_;
@@ -1180,7 +1188,6 @@
     int leant_ = 0;  // which way last
     int lean_ = 0;  // 1: by the list, the own zone is more crowded than the rest; -1: less; 0: neither, or untold
     double looked_ = 0;
-    double quotas_ = 0;  // of all tenants together, what all nodes together are made for
     double keep_ = 1e9;  // s that an idle connection is kept
     double node_part_ = 1;
     std::map<std::uint64_t, std::vector<int>> fetches_;  // key: who waits for its fetch
--- a/src/decision/balancer.h
+++ b/src/decision/balancer.h
@@ -51,8 +51,6 @@
     double longest_retry_advice = 0;  // 0: clients take no advice
     double connect_timeout = 0;
     double connection_idle = 0;   // an unused connection closes by itself after this; 0: never
-    double connection_price = 0;  // for a hundred open connections a cache, all day
-    double handshake_price = 0;   // for a new connection for each invocation
     double answer_grace = 0;
     double drain_grace = 0;
     double cold_from = 1;
@@ -115,6 +113,10 @@
     virtual void client_left(double now, int inv) = 0;
     virtual void probed(double now, int cache, Ending ending, double took) = 0;
     virtual void woken(double now, std::uint64_t token) = 0;
+    // Other settings from now on; the own zone and number stay what they were, and so does the origin's place.
+    // What is open ends by the operation that it came with. Right after it the whole list is told again, since
+    // zones and kinds may be numbered anew.
+    virtual void redeployed(double now, const Deployment& deployment) = 0;
 };
 
 std::unique_ptr<Balancer> make_balancer(const Deployment& deployment, std::uint64_t seed, Host& host);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -35,9 +35,12 @@
     call();
 }
 
-void Discovery::move_to(const std::string& address) {
-    if (address == address_) return;
+void Discovery::move_to(const std::string& address, const Names& names, bool asks) {
+    asks_ = asks;
+    const bool same = address == address_ && names == names_;
+    if (same && (watching_ || asks)) return;
     address_ = address;
+    names_ = names;
     version_ = kNone;
     retry_after_ = kRetryLeast;
     if (stream_ != nullptr) hang_up();
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -22,8 +22,9 @@
 
     Discovery(Timers& timers, Log& log, const Station& station, Told told, Failed failed);
     void watch();  // does nothing while a watch is on
-    // Asks there from now on, at once and for the whole list: another discovery counts its versions anew.
-    void move_to(const std::string& address);
+    // Asks there from now on, and reads by these names. If either is new, at once and for the whole list: another
+    // discovery counts its versions anew, and entries that the old names could not place are told only so.
+    void move_to(const std::string& address, const Names& names, bool asks);
 
   private:
     void call();
@@ -36,8 +37,8 @@
     Timers& timers_;
     Log& log_;
     std::string address_;
-    const Names names_;
-    const bool asks_;  // lists come only when asked for, and the module decides when to ask again
+    Names names_;
+    bool asks_;  // lists come only when asked for, and the module decides when to ask again
     Told told_;
     Failed tell_failed_;
     std::int64_t version_;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "json.h"
@@ -106,9 +107,52 @@
     clients_.sweep();
 }
 
+// All or nothing: whatever speaks against the new settings is found before the first of them is taken. What has
+// been asked so far is handed to the module under the old ones, by whose numbers it was read.
 void Node::reload(const Station& station) {
-    log_.line(Topic::node, "configuration_read", "configuration read again: discovery at " + station.discovery);
-    if (registry_ == nullptr) discovery_.move_to(station.discovery);
+    turn();
+    std::vector<std::pair<int, int>> places;
+    std::string against = cannot_be_live(station_, station);
+    if (against.empty()) against = placed_by(station.names, places);
+    if (!against.empty()) {
+        log_.line(Topic::node, "configuration_refused", "new configuration not taken, the old one stays: " + against);
+        return;
+    }
+    const bool renamed = !(station.names == station_.names);
+    station_ = station;
+    pool_.settle_in(station.deployment);
+    balancer_->redeployed(monotonic(), station_.deployment);
+    std::vector<Listing> entries;
+    for (const auto& [name, cache] : cache_index_) {
+        Known& s = server(cache);
+        std::tie(s.zone, s.kind) = places[static_cast<std::size_t>(cache)];
+        entries.push_back(listing(cache));
+    }
+    balancer_->listed(monotonic(), ListKind::whole, entries);
+    log_.line(Topic::node, "configuration_read",
+              "configuration read again: discovery at " + station.discovery + ", settings taken" +
+                  (renamed ? ", names changed" : ""));
+    if (registry_ == nullptr)
+        discovery_.move_to(station.discovery, station.names, station.deployment.ask_for_list);
+}
+
+// Where the known servers stand by other names, or which of them those cannot place.
+std::string Node::placed_by(const Names& names, std::vector<std::pair<int, int>>& places) const {
+    places.assign(servers_.size(), {-1, -1});
+    const auto renumber = [](const std::vector<std::string>& from, const std::vector<std::string>& to, int index) {
+        const auto i = static_cast<std::size_t>(index);
+        return index < 0 || i >= from.size() ? index : index_of(to, from[i]);
+    };
+    for (const auto& [name, cache] : cache_index_) {
+        const Known& s = servers_[static_cast<std::size_t>(cache)];
+        const int zone = renumber(station_.names.zones, names.zones, s.zone);
+        const int kind = renumber(station_.names.kinds, names.kinds, s.kind);
+        places[static_cast<std::size_t>(cache)] = {zone, kind};
+        if (s.standing == Standing::gone) continue;
+        if (s.zone >= 0 && zone < 0) return "server " + name + " stands in a zone that 'localities' does not name";
+        if (s.kind >= 0 && kind < 0) return "server " + name + " is of a kind that 'kinds' does not name";
+    }
+    return {};
 }
 
 // ---- what comes in -----------------------------------------------------------------------------------
@@ -222,6 +266,7 @@
         if (told.zone >= 0) s.zone = told.zone;
         if (told.kind >= 0) s.kind = told.kind;
         if (told.cell >= 0) s.cell = told.cell;
+        if (told.size > 0) s.size = told.size;
         entries.push_back(listing(cache));
         pool_.know(cache, s.name, s.address, s.kind >= 0 && s.kind == station_.deployment.origin_kind);
     }
@@ -278,6 +323,7 @@
     l.zone = s.zone;
     l.kind = s.kind;
     l.cell = s.cell;
+    l.size = s.size;
     l.standing = s.standing;
     if (s.born > 0) l.started = std::max(s.born - wall_less_monotonic_, 1e-6);
     return l;
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -32,7 +32,7 @@
     bool start(std::string& complaint);  // listens: from here on it can serve
     void turn();
     bool has_work() const { return !inbox_.empty(); }
-    void reload(const Station& station);  // takes the keys that may change while it runs
+    void reload(const Station& station);  // all of it that can be live, or nothing
     void wind_down();
     bool done() const { return done_; }
 
@@ -73,6 +73,7 @@
     void registered(const std::vector<RegistrationChange>& changes);
     int number_of(const std::string& name);
     Listing listing(int cache);
+    std::string placed_by(const Names& names, std::vector<std::pair<int, int>>& places) const;
     void forget_gone();
     void carry_out_forward(int inv, int number, int cache, double limit);
     void answer(int inv, std::string text);
@@ -80,7 +81,7 @@
     void settle(int inv);
     void look_whether_done();
 
-    const Station station_;
+    Station station_;
     Log& log_;
     Timers timers_;
     const double wall_less_monotonic_;
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -19,14 +19,18 @@
 Pool::Pool(Timers& timers, Log& log, const Deployment& d, std::size_t most, std::size_t bytes, Tell tell)
     : timers_(timers),
       log_(log),
-      connect_timeout_(d.connect_timeout > 0 ? d.connect_timeout : 1.0),
-      idle_most_(d.connection_idle > 0 ? kIdlePart * d.connection_idle : 1e9),
       most_(most),
       budget_{bytes},
       tell_(std::move(tell)) {
+    settle_in(d);
     age();
 }
 
+void Pool::settle_in(const Deployment& d) {
+    connect_timeout_ = d.connect_timeout > 0 ? d.connect_timeout : 1.0;
+    idle_most_ = d.connection_idle > 0 ? kIdlePart * d.connection_idle : 1e9;
+}
+
 void Pool::know(int cache, const std::string& name, const std::string& address, bool origin) {
     if (cache >= static_cast<int>(servers_.size())) servers_.resize(static_cast<std::size_t>(cache) + 1);
     Server& s = server(cache);
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -37,6 +37,7 @@
     Pool(Timers& timers, Log& log, const Deployment& deployment, std::size_t most, std::size_t bytes,
          Tell tell);
 
+    void settle_in(const Deployment& deployment);  // for connections from now on
     void know(int cache, const std::string& name, const std::string& address, bool origin);
     bool in_use(int cache) const;  // something of it is still open
     void forget(int cache);        // only what is not in use: its number may then stand for another server
@@ -84,8 +85,8 @@
 
     Timers& timers_;
     Log& log_;
-    const double connect_timeout_;
-    const double idle_most_;
+    double connect_timeout_ = 0;
+    double idle_most_ = 0;
     const std::size_t most_;
     ByteBudget budget_;
     Tell tell_;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -125,6 +125,13 @@
         std::ifstream file(daemon_->log_path());
         return std::string(std::istreambuf_iterator<char>(file), {}).find(text) != std::string::npos;
     }
+    int times_logged(const std::string& text) const {
+        std::ifstream file(daemon_->log_path());
+        const std::string all(std::istreambuf_iterator<char>(file), {});
+        int n = 0;
+        for (std::size_t at = 0; (at = all.find(text, at)) != std::string::npos; at += text.size()) ++n;
+        return n;
+    }
     bool alive() const { return daemon_->running(); }
     int exit_code() {
         wait_for([this] { return !daemon_->running(); });
@@ -451,6 +458,100 @@
     assert(fleet.caches.front().heard().size() <= 1);  // what it served before
 }
 
+// There and back under load: operations, tenants and kinds are numbered anew, sizes come and go, some forwards
+// are held over each switch. Each command gets one answer, each write runs once, no read is sent twice.
+void settings_are_switched_there_and_back_under_load() {
+    Fleet fleet(3);
+    std::atomic<bool> hold{false};
+    std::atomic<int> held{0};
+    const auto holding = [&](const std::string& message, Act act) {
+        if (hold && message.find("hold") != std::string::npos) {
+            ++held;
+            while (hold) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        return act;
+    };
+    for (ScriptedPeer& c : fleet.caches) c.plays([&](const std::string& m) { return holding(m, hit(m)); });
+    fleet.origin.plays([&](const std::string& m) { return holding(m, Act{http("made")}); });
+    const std::string here = fleet.told_with("\"az\":0", "\"az\":0");
+    std::string there = fleet.told_with("[\"m\",\"origin\"]", "[\"origin\",\"new\",\"m\"]");
+    const auto put = [&there](const std::string& from, const std::string& to) {
+        const std::size_t at = there.find(from);
+        assert(at != std::string::npos);
+        there.replace(at, from.size(), to);
+    };
+    put("\"origin_kind\":1", "\"origin_kind\":0");
+    put("\"discovery\":\"pushed\"", "\"discovery\":\"pushed\",\"weights\":\"live\",\"parties\":[{\"name\":\"acme\",\"quota_per_s\":0}]");
+    put("\"operations\":[", R"("operations":[{"name":"bid","repeat":"at_most_once","client_timeout_us":2000000},
+ {"name":"put","repeat":"deduplicated","group":"all","key_ttl_us":3000000,"client_timeout_us":2000000},)");
+    put(R"(,
+ {"name":"put","repeat":"deduplicated","group":"all","key_ttl_us":3000000,"client_timeout_us":2000000}]}})", "]}}");
+    std::atomic<bool> stop{false};
+    std::atomic<int> reads{0}, writes{0}, wrong{0};
+    std::vector<std::thread> clients;
+    for (int t = 0; t < 4; ++t) {
+        clients.emplace_back([&, t] {
+            Line line(own_loopback(), fleet.port());
+            for (int n = 0; !stop; ++n) {
+                const std::string id = "t" + std::to_string(t) + "n" + std::to_string(n);
+                const std::string key = "k" + std::to_string(n % 50);
+                if (n % 5 == 0) {
+                    line.send("ms " + key + " 1 O" + id + " Pc=put,t=acme,d=10000,k=" + id + "\r\nx\r\n");
+                    wrong += line.until("\r\n") != "HD O" + id + " cmade\r\n";
+                    ++writes;
+                } else {
+                    line.send(read_of(key, id));
+                    wrong += line.until("\r\n") != "VA 5 O" + id + "\r\n" || line.bytes(7) != "hello\r\n";
+                    ++reads;
+                }
+            }
+        });
+    }
+    int switches = 0;
+    for (const std::string& told : {there, here, there, here}) {
+        hold = true;
+        const int before = held;
+        Line read(own_loopback(), fleet.port()), write(own_loopback(), fleet.port());
+        const std::string id = "hold" + std::to_string(++switches);
+        read.send(read_of("held", id + "r"));
+        write.send("ms other 1 O" + id + "w Pc=put,t=acme,d=10000,k=" + id + "\r\nx\r\n");
+        wait_for([&] { return held == before + 2; });
+        fleet.configure(told);
+        fleet.signal(SIGHUP);
+        wait_for([&] { return fleet.times_logged("settings taken") == switches; });
+        if (switches % 2 == 1) {
+            assert(fleet.ask("ms b 1 Obid" + std::to_string(switches) + " Pc=bid,d=10000\r\nx\r\n") == "HD Obid" + std::to_string(switches) + " cmade\r\n");
+        } else {
+            assert(fleet.ask("ms b 1 Obid" + std::to_string(switches) + " Pc=bid,d=10000\r\nx\r\n").starts_with("CLIENT_ERROR unknown operation"));
+        }
+        hold = false;
+        assert(read.until("\r\n") == "VA 5 O" + id + "r\r\n" && write.until("\r\n") == "HD O" + id + "w cmade\r\n");
+        const int so_far = reads;
+        wait_for([&] { return reads > so_far + 50; });
+    }
+    stop = true;
+    for (std::thread& c : clients) c.join();
+    int sent_reads = 0;
+    for (ScriptedPeer& c : fleet.caches) sent_reads += static_cast<int>(c.heard().size());
+    assert(wrong == 0 && writes > 0);
+    assert(sent_reads == reads + switches);
+    assert(static_cast<int>(fleet.origin.heard().size()) == writes + switches + switches / 2);
+    // What cannot be live, or is wrong, leaves all as it was, and says why in one line.
+    struct Case {
+        const char *from, *to, *line;
+    };
+    for (const Case& c : {Case{"\"az\":0", "\"az\":0,\"my_number\":1", "field 'my_number' in 'settings' cannot change"},
+                          Case{"\"sockets\":256", "\"sockets\":300", "field 'limits.sockets' cannot change"},
+                          Case{"\"listen\":\"", "\"listen\":\"127.0.0.1:1\",\"was\":\"", "field 'listen' cannot change"},
+                          Case{"[\"m\",", "[\"n\",", "field 'class' names the unknown 'm'"},
+                          Case{"\"balancers\":2", "\"balancers\":2,\"weights\":\"often\"", "field 'weights' has the unknown value"}}) {
+        fleet.configure(fleet.told_with(c.from, c.to));
+        fleet.signal(SIGHUP);
+        wait_for([&] { return fleet.logged(c.line); });
+        assert(fleet.ask(read_of("7f3a", "after")) == "VA 5 Oafter\r\n" && fleet.times_logged("settings taken") == switches);
+    }
+}
+
 // A connection that is not up when a drain is told would begin its forward after it.
 void a_drain_takes_back_what_is_not_connected() {
     std::string news;
@@ -707,6 +808,7 @@
     a_discovery_that_lost_its_versions_is_asked_for_everything();
     gone_servers_are_forgotten();
     a_new_configuration_is_taken_while_it_serves();
+    settings_are_switched_there_and_back_under_load();
     a_drain_takes_back_what_is_not_connected();
     large_values_are_passed_on_whole();
     what_clients_hold_together_is_bounded();
--- a/tests/ring_test.cpp
+++ b/tests/ring_test.cpp
@@ -133,9 +133,59 @@
     }
 }
 
+void points_go_by_the_listed_size_of_the_kind() {
+    struct Case {
+        Sizes sizes;
+        double small, big;  // listed sizes of the odd and the even caches
+        double least, most;  // share of keys on the odd ones
+    };
+    for (const Case& c : {Case{Sizes::untold, 0.5, 4, 0.4, 0.6}, Case{Sizes::fixed, 1, 1, 0.4, 0.6},
+                          Case{Sizes::fixed, 1, 3, 0.18, 0.33}, Case{Sizes::live, 0.5, 4, 0.05, 0.18}}) {
+        Fleet fleet(6);
+        fleet.deployment.sizes = c.sizes;
+        for (Listing& l : fleet.list) {
+            if (l.cache == kOrigin) continue;
+            l.kind = l.cache % 2 * 2;
+            l.size = l.cache % 2 == 1 ? c.small : c.big;
+        }
+        fleet.start();
+        const auto before = owners(fleet, 600);
+        double small = 0;
+        for (int at : before) small += at % 2;
+        assert(small / 600 >= c.least && small / 600 <= c.most);
+        // Load lowers what is listed; a point that moved with it would tear keys from their copies.
+        for (Listing& l : fleet.list) l.size *= 0.7;
+        fleet.tell(ListKind::change);
+        assert(owners(fleet, 600) == before);
+    }
+}
+
+void a_cache_listed_as_crowded_gives_keys_away_until_it_is_not() {
+    for (bool live : {true, false}) {
+        Fleet fleet(6);
+        fleet.deployment.sizes = live ? Sizes::live : Sizes::fixed;
+        for (Listing& l : fleet.list) l.size = 2;
+        fleet.start();
+        const auto kept = [&fleet] {
+            int n = 0;
+            for (int k = 0; k < 600; ++k) n += fleet.owner(static_cast<std::uint64_t>(k) * 7919) == 1;
+            return n;
+        };
+        const int home = kept();
+        fleet.list[1].size = 0.2;  // nine held a core
+        for (int n = 0; n < 4; ++n) fleet.tell(ListKind::change);
+        assert(live ? kept() < home / 3 : kept() == home);
+        fleet.list[1].size = 2;
+        for (int n = 0; n < 12; ++n) fleet.tell(ListKind::change);
+        assert(kept() == home);
+    }
+}
+
 }  // namespace
 
 int main() {
+    points_go_by_the_listed_size_of_the_kind();
+    a_cache_listed_as_crowded_gives_keys_away_until_it_is_not();
     a_key_keeps_its_owner_and_all_caches_own_some();
     every_node_agrees();
     a_leaving_cache_moves_only_its_own_keys();
