--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -25,28 +25,21 @@
 constexpr std::uint64_t kRingSeed = 0x62726f6f6b72656cULL;  // the same at every node
 constexpr double kOverMean = 3.0;  // the design: at least twice; less tears keys from their copies
 constexpr int kFloor = 6;          // the design: at least two; a small floor passes over on chance alone
-
 constexpr int kSilentRun = 3;       // failures in a row that make a suspect; fewer and chance errors do
 constexpr double kSilence = 0.3;    // s without any answer, with forwards out, that make a suspect
-constexpr double kSlowTimes = 3.0;  // times its peers' pace; below this, machine kinds alone reach it
-constexpr int kSlowCount = 5;       // answers needed before slowness is believed
 constexpr double kTrialGap = 0.5;   // s to the first trial of a suspect; doubles up to kTrialGapMost
 constexpr double kTrialGapMost = 2.0;
 constexpr double kRestart = 3.0;  // s of silence that may hide a restart; less is a jam
-
 constexpr double kRetryPart = 0.2;  // further forwards earned by each invocation
 constexpr double kRetryMost = 100;  // and saved up at the most by all nodes: one short outage, not a storm
 constexpr double kRetryLeast = 2;   // and by one node, where there are many;
 constexpr double kRetryNode = 20;   // at the most, where there are few
-
 constexpr double kColdSafety = 0.8;  // part of the guaranteed warm-up that is used
 constexpr double kColdBudget = 0.6;  // part of this node's even share of rule 4's budget that is used
 constexpr double kEvenLoad = 0.5;    // of its capacity, taken for what an even share of keys brings it
-
 constexpr int kDisplaced = 1;        // closed gates that a key passes before it is throttled
 constexpr double kJamStrain = 0.55;  // part of strained endings from which it passes none: all are full
 constexpr int kJammed = -2;          // no cache, for load alone
-
 constexpr double kOriginStart = 16;     // forwards of all nodes at the origin at first: it is shared and slow
 constexpr double kOriginStartNode = 4;  // and of one at the most
 constexpr double kCacheStart = 16;      // and at a cache; both settle within seconds
@@ -58,32 +51,27 @@
 constexpr double kOriginPauseMost = 2.0;
 constexpr double kCachePauseMost = 4.0;  // longer: with many nodes a small cache jams on one forward each
 constexpr double kOriginPart = 0.5;      // the origin's pace may take this part of the shortest objective
-
 constexpr double kPressureStep = 0.1;   // change of pressure at each look
 constexpr double kPressureLook = 0.25;  // s between looks
 constexpr double kShareDepth = 10;      // invocations a tenant may save up at a node; chance empties less
 constexpr double kStrainPart = 0.35;    // a forward slower than this part of its objective is a strain
 constexpr double kStrained = 0.15;      // part of strained endings from which pressure rises
-
 constexpr double kKeepGrow = 1.03;  // of the time idle connections are kept, at each look without a refusal
 constexpr double kQuickRefusal = 0.8;    // of the connect time-out
 constexpr double kKeepLeast = 0.05;  // s; below this a burst to one cache would open a connection for each
-
 constexpr int kEnough = 16;        // endings in a second that tell strain from chance; with fewer, those of
 constexpr double kMoreSpan = 8.0;  // as many seconds
-
 constexpr double kKindApart = 0.05;  // more strained endings than the least strained kind: its share falls
 constexpr double kKindDown = 0.02;   // at each look; down in seconds,
 constexpr double kKindUp = 0.005;    // back slowly, as with reach; half these steps gained less
 constexpr double kKindLeast = 0.4;   // machines further apart than that are a fault, not a kind
 constexpr int kKindsMost = 64;       // further ones share the last row, however the list numbers them
-
 constexpr double kHeldMost = 3.0;    // invocations a core, as listed, from which a cache is crowded,
 constexpr double kHeldTimes = 1.5;   // if also as many times its zone's mean: with all full none is spared
 constexpr double kCrowdedCut = 0.6;  // of its share left, a list;
 constexpr double kCrowdedUp = 0.1;  // back slowly once it holds under half as much
 constexpr double kCrowdedLeast = 0.05;
-constexpr double kAdmitHeld = 5.0;  // a core, on average; between three quarters of it and this nothing changes
+constexpr double kAdmitHeld = 5.0;  // a core, on average; from three quarters of it up nothing changes
 constexpr double kAdmitCut = 0.8;  // of the reads let in, a list, while all that a node reaches is crowded
 constexpr double kAdmitUp = 0.1;   // of all, let in again a list
 constexpr double kAdmitLeast = 0.2;
@@ -92,11 +80,9 @@
 constexpr double kLostUp = 0.04;
 constexpr double kZoneStepLeast = 0.01;  // halved at each turn down to this, or late news makes it swing
 constexpr double kZoneStep = 0.06;  // change of reach a look, while the list shows one side more crowded
-
 constexpr double kReachStrain = 0.4;  // part of strained endings from which more keys reach out
 constexpr double kReachUp = 0.25;     // change of that share at each look: out in seconds,
 constexpr double kReachDown = 0.01;   // back in half a minute, or copies would be torn again and again
-
 constexpr int kHotSample = 128;  // invocations counted before the older half of the counts is forgotten
 constexpr int kHotLeast = 3;     // of one key among them; fewer are chance
 
@@ -210,7 +196,6 @@
     double unanswered = 0;     // when the first forward since its last answer went out; 0: none
     int failures = 0;          // in a row
     bool suspect = false;
-    bool silent = false;  // suspected for silence, not for slowness
     double suspect_since = 0;
     double next_trial = 0;
     double trial_gap = kTrialGap;
@@ -265,7 +250,6 @@
         origin_gate_.limit =
             std::clamp(kOriginStart / std::max(1, deployment.nodes), kLimitLeast, kOriginStartNode);
     }
-
     // What this node learned of caches, of the origin and of its traffic stays; what the settings say of them
     // goes, and sizes and load are learned anew from the list that follows.
     void redeployed(double, const Deployment& deployment) override {
@@ -282,7 +266,6 @@
         lean_ = leant_ = 0;
         zone_step_ = kZoneStep;
     }
-
     void listed(double, ListKind kind, const std::vector<Listing>& entries) override {
         ++list_turn_;
         for (const Listing& e : entries) {
@@ -328,14 +311,12 @@
             list_failures_ = 0;
         }
     }
-
     void list_failed(double) override {
         // Doubling with full jitter: all nodes lose the list at once, and its service has a fixed capacity.
         const double most = std::min(0.2 * std::pow(2.0, list_failures_), deployment_.ask_every / 2 + 0.2);
         list_failures_ = std::min(list_failures_ + 1, 10);
         host_.wake(most * (0.3 + 0.7 * draw()), token(Timer::list, 0, 0));
     }
-
     void arrived(double now, const Arrival& a) override {
         if (a.inv >= static_cast<int>(invs_.size())) invs_.resize(static_cast<std::size_t>(a.inv) + 1);
         Invocation& v = invs_[static_cast<std::size_t>(a.inv)];
@@ -344,9 +325,8 @@
         v.rows = rows_;
         if (!a.has_key) v.what.key = (static_cast<std::uint64_t>(chance_()) << 24) ^ chance_();
         const Operation& op = operation(v);
-
         v.due = now + a.time_left;
-        v.in_time = now + op.latency_objective - spent_before(a, op);
+        v.in_time = now + op.latency_objective;
         v.useful = op.tardy_part > 0 ? v.due : std::min(v.due, v.in_time);
         v.forwards.clear();
         v.out = 0;
@@ -358,17 +338,16 @@
         look(now);
         v.over_share = over_share(v, now);
         v.came = count(v.what);
-        if ((v.over_share && draw() < pressure_) || (!a.write && draw() >= admitted_) || v.useful - now <= 2 * deployment_.tick) {
+        const bool shed = (v.over_share && draw() < pressure_) || (!a.write && draw() >= admitted_);
+        if (shed || v.useful - now <= 2 * deployment_.tick) {
             close(v);
             return;
         }
-        if (a.write && origin_ >= 0) {
+        if (a.write && origin_ >= 0)
             to_origin(v, now);
-        } else {
+        else
             to_cache(v, now);
-        }
     }
-
     void ended(double now, int inv, int forward, Ending ending, double took, bool over) override {
         Invocation& v = invs_[static_cast<std::size_t>(inv)];
         if (forward < 0 || forward >= static_cast<int>(v.forwards.size())) return;
@@ -398,11 +377,9 @@
             again(v, now, c.origin);
         }
     }
-
     void stream_started(double, int inv, int) override {
         invs_[static_cast<std::size_t>(inv)].streaming = true;
     }
-
     void client_left(double, int inv) override {
         Invocation& v = invs_[static_cast<std::size_t>(inv)];
         if (!v.open) return;
@@ -410,7 +387,6 @@
         leave_wait(v);
         drop_copies(v);
     }
-
     void probed(double, int, Ending, double) override {}
     void woken(double now, std::uint64_t token) override {
         const auto kind = static_cast<Timer>(token >> 56);
@@ -441,7 +417,6 @@
         double filled = 0;
         Meter arrivals{kPaceSpan};
     };
-
     void settle_in(const Deployment& deployment) {
         deployment_ = deployment;
         rows_ = std::make_shared<const std::vector<Operation>>(deployment.operations);
@@ -452,22 +427,10 @@
         for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
         most_retries_ = std::clamp(kRetryMost / std::max(1, deployment.nodes), kRetryLeast, kRetryNode);
         retries_ = std::min(retries_, most_retries_);
-        first_time_left_.assign(deployment.operations.size(), 0);
         origin_target_ = 1;
-        for (const Operation& op : deployment.operations) {
+        for (const Operation& op : deployment.operations)
             origin_target_ = std::min(origin_target_, kOriginPart * op.latency_objective);
-        }
     }
-
-    // A repeat's objective has run since its client's first try. A client's last try waits until the client
-    // timeout and so tells when that was; a repeat with as much time as a first try tells nothing.
-    double spent_before(const Arrival& a, const Operation& op) {
-        double& first = first_time_left_[static_cast<std::size_t>(a.operation)];
-        if (!a.repeat) first = a.time_left;
-        if (!a.repeat || first == 0 || std::abs(a.time_left - first) < 2 * deployment_.tick) return 0;
-        return std::max(0.0, op.client_timeout - a.time_left);
-    }
-
     const Operation& operation(const Invocation& v) const {
         return (*v.rows)[static_cast<std::size_t>(v.what.operation)];
     }
@@ -478,7 +441,6 @@
     }
 
     // ---- the ring -------------------------------------------------------------------------------------
-
     // Sizes have no unit, and load may lower what is listed, so a kind's is the largest seen of it and the
     // usual one, set by the first list, a power of two: nodes that see lists of other ages agree on them.
     double usual_size() const {
@@ -495,9 +457,7 @@
         if (usual_size_ == 0 || size == 0) return static_cast<int>(kPoints);
         return static_cast<int>(std::clamp(kPoints * size / usual_size_, kPointsLeast, kPointsMost));
     }
-
-    // Only what came or went is touched: with hundreds of caches, sorting all points at each change of the
-    // list took more of a node's CPU than everything else.
+    // Only what came or went is touched: sorting all points at each change took most of a node's CPU.
     void update_rings() {
         const auto wanted = [](const Cache& c) {
             return c.standing == Standing::ready && !c.origin ? c.zone : -1;
@@ -555,13 +515,12 @@
     }
     static std::uint32_t spot(std::uint64_t x) { return static_cast<std::uint32_t>(mix(x) >> 32); }
     std::uint64_t hash_of(int cache) const { return caches_[static_cast<std::size_t>(cache)].hash; }
-
     // The first cache clockwise that nothing speaks against; -1 when each one is ruled out.
     int walk(const Invocation& v, int zone, double now, bool last_resort) {
         const auto& ring = rings_[static_cast<std::size_t>(zone)];
         if (ring.empty()) return -1;
         const int members = members_[static_cast<std::size_t>(zone)];
-        const double mean = outs_[static_cast<std::size_t>(zone)] / static_cast<double>(ring.size());  // a point
+        const double a_point = outs_[static_cast<std::size_t>(zone)] / static_cast<double>(ring.size());
         const std::uint32_t at = spot((v.what.key ^ kRingSeed) + split(v, members));
         auto p = std::lower_bound(ring.begin(), ring.end(), at,
                                   [](const Point& x, std::uint32_t key) { return x.at < key; });
@@ -591,7 +550,7 @@
                 continue;
             }
             if (last_resort) return p->cache;
-            if (c.out > kFloor && c.out > kOverMean * mean * c.points) {
+            if (c.out > kFloor && c.out > kOverMean * a_point * c.points) {
                 if (passed < 0) passed = p->cache;
                 continue;
             }
@@ -599,9 +558,7 @@
         }
         return passed;
     }
-
-    // Exception: a key hotter than one cache's even share has several points, one drawn for each invocation;
-    // with many caches the most popular key alone is more than one of them can carry.
+    // Exception: a key hotter than a cache's even share has several points, one drawn for each invocation.
     std::uint64_t split(const Invocation& v, int members) {
         if (v.came < kHotLeast) return 0;
         const int parts =
@@ -619,13 +576,9 @@
         const auto old = counts_[1].find(a.key);
         return ++counts_[0][a.key] + (old == counts_[1].end() ? 0 : old->second);
     }
-
     int pooled() const { return static_cast<int>(rings_.size()) - 1; }
-
-    // Exception: while the own zone or the origin is strained, a share of keys, the same ones at every node
-    // with that share, uses the ring of all zones from the start.
+    // Exception: while the own zone or the origin is strained, a share of keys uses the ring of all zones.
     bool reaches_out(const Invocation& v) const { return unit(mix(v.what.key ^ 0x5a5a)) < reach_; }
-
     // Own zone first. Exception: when each cache there is suspect, full, cold or tried, the next zone's ring.
     int choose(const Invocation& v, double now) {
         const int zones = pooled();
@@ -641,14 +594,12 @@
         }
         return -1;
     }
-
     bool tried(const Invocation& v, int cache) const {
         return std::any_of(v.forwards.begin(), v.forwards.end(),
                            [cache](const Forward& f) { return f.cache == cache; });
     }
 
     // ---- rule 2: may this be forwarded there, may it be throttled ---------------------------------------
-
     bool may_forward(const Invocation& v, int cache, double now) const {
         const Operation& op = operation(v);
         const Cache& to = caches_[static_cast<std::size_t>(cache)];
@@ -668,7 +619,6 @@
         }
         return true;
     }
-
     bool may_throttle(const Invocation& v) const {
         const Operation& op = operation(v);
         if (op.repeat == Repeat::idempotent) return true;
@@ -678,7 +628,6 @@
     }
 
     // ---- what a cold cache may be sent -------------------------------------------------------------------
-
     double warmth(const Cache& c, double now) const {
         if (deployment_.warm_within <= 0) return 1;
         const double age = std::max(0.0, now - c.cold_since);
@@ -686,18 +635,17 @@
         return kColdSafety *
                (deployment_.cold_from + (1 - deployment_.cold_from) * age / deployment_.warm_within);
     }
-
     // The same keys at every node, more of them as it warms; and this node's part of rule 4's budget.
     bool welcome_cold(Cache& c, const Invocation& v, int zone, double now) {
         double warm = warmth(c, now);
         if (warm >= 1) return true;
-        // A zone with few caches left gives each more than its even share of all: the first that come back
-        // cold would have the whole zone's traffic.
+        // In a zone with few caches left, the first that come back cold would have all of its traffic.
         const int zones = zone == pooled() ? 1 : pooled();
         warm *= std::min(
             1.0, static_cast<double>(zones * members_[static_cast<std::size_t>(zone)]) / members_.back());
         // What warm caches answer, not what they are sent: an overloaded fleet rejects most of that.
-        const double budget = kColdBudget * deployment_.fall_multiple * warm * c.points * answered_by_warm(now);
+        const double due = warm * c.points * answered_by_warm(now);
+        const double budget = kColdBudget * deployment_.fall_multiple * due;
         // With many nodes each one's part is under one forward and no count holds it; and with many caches a
         // key too rare for a node to see as hot may alone push one over. What came more than once stays away,
         // and nodes that have not counted for long enough to tell take turns by hash.
@@ -720,7 +668,6 @@
         }
         return points == 0 ? 0 : deployment_.fall_time * answers / points / kPaceSpan;
     }
-
     // Exception: machines of one kind that strain more than another take a lesser share of their keys, the
     // same ones at every node with that share. Nobody tells speeds, and the list's sizes may mislead.
     // A key that this node often sees goes by chance, since it alone may be more than a cache carries; so do
@@ -734,8 +681,7 @@
     double held(const Cache& c) const {
         return c.listed > 0 ? kinds_[static_cast<std::size_t>(c.kind)].size / c.listed - 1 : 0;
     }
-    // Where the list lowers sizes by load, it tells every node the same load, though late: one node of
-    // hundreds sees too few endings to know which caches are crowded, or that its zone is.
+    // A list that lowers sizes by load tells all nodes alike, if late, what one node sees too little to know.
     void weigh_listed_load() {
         std::vector<double> sums(rings_.size()), sizes(rings_.size());
         for (const Cache& c : caches_) {
@@ -767,12 +713,9 @@
             admitted_ = std::min(admitted_ + kAdmitUp, 1.0);
         }
         const double least = kHeldMost / 2;
-        const int lean = mean > std::max(least, kHeldTimes * rest)   ? 1
-                         : rest > std::max(least, kHeldTimes * mean) ? -1
-                                                                     : 0;
-        if (lean * leant_ < 0) zone_step_ = std::max(zone_step_ / 2, kZoneStepLeast);
-        if (lean != 0) leant_ = lean;
-        lean_ = lean;
+        lean_ = (mean > std::max(least, kHeldTimes * rest)) - (rest > std::max(least, kHeldTimes * mean));
+        if (lean_ * leant_ < 0) zone_step_ = std::max(zone_step_ / 2, kZoneStepLeast);
+        if (lean_ != 0) leant_ = lean_;
     }
     void weigh_kinds(double now) {
         double least = 1;
@@ -786,26 +729,22 @@
     }
 
     // ---- health --------------------------------------------------------------------------------------
-
     bool healthy(Cache& c, double now) {
         if (!c.suspect && c.out >= 2 && c.unanswered > 0) {
-            if (now - c.unanswered > std::max(kSilence, 3 * c.pace.mean(now))) suspect(c, true, now);
+            if (now - c.unanswered > std::max(kSilence, 3 * c.pace.mean(now))) suspect(c, now);
         }
         return !c.suspect;
     }
-
-    void suspect(Cache& c, bool silent, double now) {
+    void suspect(Cache& c, double now) {
         if (!c.suspect) {
             c.trial_gap = kTrialGap;
             c.suspect_since = now;
+            call_back(static_cast<int>(&c - caches_.data()), now);
         }
         c.suspect = true;
-        if (silent && !c.silent) call_back(static_cast<int>(&c - caches_.data()), now);
-        c.silent = c.silent || silent;
         c.next_trial = now + c.trial_gap * (0.75 + 0.5 * draw());
         c.trial_gap = std::min(2 * c.trial_gap, kTrialGapMost);
     }
-
     // What a silent cache holds would wait out its time there; called back, it goes on to another cache.
     void call_back(int cache, double now) {
         if (!deployment_.may_cancel) return;
@@ -816,7 +755,6 @@
             host_.cancel(v.what.inv, static_cast<int>(v.forwards.size()) - 1);
         }
     }
-
     // A suspect gets one invocation now and then, only one that may be forwarded again.
     bool trial_due(Cache& c, const Invocation& v, double now) {
         if (now < c.next_trial || operation(v).repeat != Repeat::idempotent || !v.forwards.empty())
@@ -824,13 +762,11 @@
         c.next_trial = now + c.trial_gap;
         return true;
     }
-
     // Exception: lost by its connection alone, while others are answered quickly: no sign of load or health.
     bool lost_alone(Cache& c, Ending ending, double now) {
         if (ending != Ending::timed_out && ending != Ending::reset) return false;
         return now - c.answered < kSilence && c.pace.mean(now) < kSilence;
     }
-
     void judge(Cache& c, const Invocation& v, const Forward& f, Ending ending, double took, double now) {
         const Operation& op = operation(v);
         if (!c.origin) {
@@ -856,17 +792,10 @@
                     c.gate.grow(c.out);
                 }
                 if (c.suspect) {
-                    if (c.silent || took < kSlowTimes * usual_pace(now)) {
-                        // Silent for long, it may have restarted: cold until the list says otherwise.
-                        if (c.silent && now - c.suspect_since > kRestart)
-                            c.cold_since = std::max(c.cold_since, now);
-                        c.suspect = c.silent = false;
-                        c.pace.clear();
-                    } else {
-                        suspect(c, false, now);
-                    }
-                } else if (c.pace.count(now) >= kSlowCount) {
-                    if (c.pace.mean(now) > kSlowTimes * usual_pace(now)) suspect(c, false, now);
+                    // Silent for long, it may have restarted: cold until the list says otherwise.
+                    if (now - c.suspect_since > kRestart) c.cold_since = std::max(c.cold_since, now);
+                    c.suspect = false;
+                    c.pace.clear();
                 }
                 break;
             case Ending::busy:
@@ -880,14 +809,13 @@
             case Ending::timed_out:
             case Ending::refused:
             case Ending::reset:
-                // Many nodes before few caches fill their tables with connections that nobody uses. A machine
-                // that has gone silent takes all of the connect time; a full table says so at once.
+                // A machine that has gone silent takes all of the connect time; a full table says so at once.
                 if (ending == Ending::refused && took < kQuickRefusal * deployment_.connect_timeout)
                     keep_ = std::max(keep_ / 2, kKeepLeast);
                 if (f.sent < c.unanswered) c.unanswered = f.sent;
                 if (c.origin) return;
                 ease_off(c, kHardCut, kPause, 0, now);
-                if (++c.failures >= kSilentRun) suspect(c, true, now);
+                if (++c.failures >= kSilentRun) suspect(c, now);
                 break;
             case Ending::cancelled:
             case Ending::not_sent:
@@ -895,7 +823,6 @@
         }
         if (c.out == 0) c.unanswered = 0;
     }
-
     void ease_off(Cache& c, double to, double apart, double pause, double now) {
         if (c.gate.limit <= kLimitLeast) {
             c.gate.pause = std::max(c.gate.pause, pause);
@@ -904,18 +831,7 @@
         c.gate.cut(to, apart, c.out, now);
     }
 
-    // The median of the caches' paces: one that a few slow ones cannot drag along.
-    double usual_pace(double now) {
-        std::vector<double> paces;
-        for (Cache& c : caches_) {
-            if (c.origin || c.standing != Standing::ready || c.pace.count(now) < kSlowCount) continue;
-            paces.push_back(c.pace.mean(now));
-        }
-        return paces.size() < 3 ? 1e9 : median(paces);
-    }
-
     // ---- forwards --------------------------------------------------------------------------------------
-
     void send(Invocation& v, int cache, double limit, double now) {
         Cache& c = caches_[static_cast<std::size_t>(cache)];
         v.forwards.push_back({cache, now, Fate::out});
@@ -927,36 +843,31 @@
         if (!c.origin) c.cold_sent.add(now, 1);
         host_.forward(v.what.inv, cache, limit);
     }
-
     void to_cache(Invocation& v, double now) {
         const int cache = choose(v, now);
         if (cache < 0) {
-            if (!v.what.write && origin_ >= 0 && members_.back() == 0) {
+            if (!v.what.write && origin_ >= 0 && members_.back() == 0)
                 to_origin(v, now);
-            } else {
+            else
                 close(v);
-            }
             return;
         }
         send(v, cache, v.useful - now, now);
     }
-
     // After a failed forward: another if rule 2, the time left and the budget all allow it; but in a jam none
     // goes to a further cache: all are full, and each try costs one of them a handshake and a place in vain.
     void again(Invocation& v, double now, bool from_origin) {
         if (v.useful - now > 2 * deployment_.tick && retries_ >= 1 &&
             (from_origin || strained_ <= kJamStrain)) {
             retries_ -= 1;
-            if (from_origin) {
+            if (from_origin)
                 to_origin(v, now);
-            } else {
+            else
                 to_cache(v, now);
-            }
             return;
         }
         close(v);
     }
-
     // The final answer of a given-up invocation, at once: throttled where rule 2 lets it, else errored.
     void close(Invocation& v) {
         v.open = false;
@@ -970,20 +881,17 @@
         }
         drop_copies(v);
     }
-
     // Work for nobody is called back, except a fetch: its answer still fills the cache for those who wait.
     void drop_copies(Invocation& v) {
         if (!deployment_.may_cancel || v.streaming) return;
         for (std::size_t i = 0; i < v.forwards.size(); ++i) {
             const Forward& f = v.forwards[i];
-            if (f.fate == Fate::out && !caches_[static_cast<std::size_t>(f.cache)].origin) {
+            if (f.fate == Fate::out && !caches_[static_cast<std::size_t>(f.cache)].origin)
                 host_.cancel(v.what.inv, static_cast<int>(i));
-            }
         }
     }
 
     // ---- the origin ------------------------------------------------------------------------------------
-
     void to_origin(Invocation& v, double now) {
         const int at = origin_;
         if (at < 0 || !may_forward(v, at, now)) {
@@ -1008,14 +916,12 @@
             close(v);
         }
     }
-
     // How long a newcomer waits and is then fetched for: one who cannot make it is told so at once.
     double origin_wait(double now) const {
         const double pace = std::max(origin_pace_, 0.01);
         const double turns = static_cast<double>(queue_.size() + 1) / origin_gate_.limit + 1;
         return std::max(0.0, origin_gate_.pause_until - now) + turns * pace;
     }
-
     void fetch_now(Invocation& v, int at, double now) {
         ++origin_out_;
         if (!v.what.write && v.what.has_key) {
@@ -1024,13 +930,11 @@
         }
         send(v, at, v.due - now, now);  // past its use to this client, the answer still fills the cache
     }
-
     void wait(Invocation& v, Wait how, double now) {
         v.wait = how;
         host_.wake(std::max(v.useful - now - 2 * deployment_.tick, 0.0),
                    token(Timer::expiry, v.turn, v.what.inv));
     }
-
     void leave_wait(Invocation& v) {
         if (v.wait == Wait::queue) std::erase(queue_, v.what.inv);
         if (v.wait == Wait::fetch) {
@@ -1039,7 +943,6 @@
         }
         v.wait = Wait::none;
     }
-
     void origin_ended(Invocation& v, Ending ending, double took, double now) {
         --origin_out_;
         adapt_origin(ending, took, now);
@@ -1061,14 +964,12 @@
         }
         next_from_queue(now);
     }
-
     double still_earns(const Invocation& v, double now) const {
         const Operation& op = operation(v);
         const bool late = now + origin_pace_ > v.in_time;
         return op.billed_value * (late ? op.tardy_part : 1) *
                (v.over_share ? deployment_.beyond_share_part : 1);
     }
-
     void next_from_queue(double now) {
         while (origin_gate_.open(origin_out_, now) && !queue_.empty()) {
             // What an answer would still earn first, then whoever has the least time left.
@@ -1085,25 +986,21 @@
             to_origin(w, now);
         }
     }
-
     void adapt_origin(Ending ending, double took, double now) {
         if (ending == Ending::succeeded) {
             origin_pace_ = origin_pace_ == 0 ? took : origin_pace_ + (took - origin_pace_) / 8;
-            if (origin_pace_ > origin_target_) {
+            if (origin_pace_ > origin_target_)
                 origin_gate_.cut(kGentleCut, std::max(origin_pace_, 0.05), origin_out_, now);
-            } else {
+            else
                 origin_gate_.grow(origin_out_);
-            }
         } else if (ending != Ending::cancelled && ending != Ending::not_sent && ending != Ending::errored) {
             origin_gate_.cut(kHardCut, std::max(origin_pace_, 0.05), origin_out_, now);
-            if (origin_gate_.rest(draw(), kOriginPauseMost, now)) {
+            if (origin_gate_.rest(draw(), kOriginPauseMost, now))
                 host_.wake(origin_gate_.pause_until - now, token(Timer::origin, 0, 0));
-            }
         }
     }
 
     // ---- shares, and pressure ------------------------------------------------------------------------
-
     // Over its share at this node: quotas hold for all nodes together, so each is scaled by this node's
     // part of the traffic, guessed from the tenants in the middle, which are seldom the greedy ones.
     bool over_share(const Invocation& v, double now) {
@@ -1119,7 +1016,6 @@
         s.tokens -= 1;
         return false;
     }
-
     void look(double now) {
         if (now - looked_ < kPressureLook) return;
         looked_ = now;
@@ -1144,18 +1040,16 @@
         node_part_ = 1.0 / std::max(1, deployment_.nodes);
         if (!parts.empty()) node_part_ = std::clamp(median(parts), node_part_, 1.0);
     }
-
-    // An idle connection is kept until it closes by itself; for less after refusals: with many nodes a cache's
-    // table is full of connections that lie idle.
+    // An idle connection is kept until it closes by itself; after refusals for less: they fill the tables.
     void close_idle(double now) {
-        keep_ = std::min(keep_ * kKeepGrow, deployment_.connection_idle > 0 ? deployment_.connection_idle : 1e9);
+        const double most = deployment_.connection_idle > 0 ? deployment_.connection_idle : 1e9;
+        keep_ = std::min(keep_ * kKeepGrow, most);
         for (Cache& c : caches_) {
             if (!c.connected || c.out > 0 || now - c.used < keep_) continue;
             c.connected = false;
             host_.release(static_cast<int>(&c - caches_.data()));
         }
     }
-
     Deployment deployment_;
     std::shared_ptr<const std::vector<Operation>> rows_;
     Host& host_;
@@ -1169,7 +1063,6 @@
     std::vector<Invocation> invs_;
     std::vector<Kind> kinds_;
     std::vector<Share> tenants_;
-    std::vector<double> first_time_left_;  // a row an operation: time left of the latest unmarked try
     std::array<std::map<std::uint64_t, int>, 2> counts_;  // how often each key came, this generation and last
     std::array<int, 2> counted_{};
     Meter endings_{1.0};
@@ -1186,7 +1079,7 @@
     double admitted_ = 1;  // part of the reads let in, by the load that the list tells
     double zone_step_ = kZoneStep;
     int leant_ = 0;  // which way last
-    int lean_ = 0;  // 1: by the list, the own zone is more crowded than the rest; -1: less; 0: neither, or untold
+    int lean_ = 0;  // 1: by the list, the own zone is more crowded than the rest; -1: less
     double looked_ = 0;
     double keep_ = 1e9;  // s that an idle connection is kept
     double node_part_ = 1;
