--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -873,8 +873,8 @@
         v.open = false;
         leave_wait(v);
         if (may_throttle(v)) {
-            const double advice =
-                std::min(deployment_.longest_retry_advice, 0.2 + pressure_ * (0.5 + draw()));
+            const double wait = 0.2 + std::max(pressure_, 1 - admitted_) * (0.5 + draw());
+            const double advice = std::min(deployment_.longest_retry_advice, wait);
             host_.throttle(v.what.inv, deployment_.longest_retry_advice > 0 ? advice : 0);
         } else {
             host_.error(v.what.inv);
