--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -14,7 +14,7 @@
     return static_cast<int>(fleet.host.throttled.size() - before);
 }
 
-// At full size every cache of a live list held 20 invocations a core, and no node's own endings showed it.
+// At full size the caches of a live list held 7 to 28 invocations a core, and no node alone could hold that off.
 void reads_are_turned_away_while_the_list_shows_all_crowded() {
     Fleet fleet(6);
     fleet.deployment.sizes = Sizes::live;
