Operators' address with ready; a second process serves on the inherited listener

Seen: upgrade+hand ended with the second process (exit code 1), since it bound the address that the first one holds; nobody answered on the operators' address. Change: src/net/management (high-priority sources, 8 places, one call a connection), GW_ACCEPT_FD, and from SIGTERM on with a shared listener: accept nothing, answer what is there, close between commands, end when no client is left. Tests: ops_test (calls that are none, mute callers at the limit of descriptors, a change of processes with held, half-written and idle clients, a second process that dies or is given no listener).

--- a/src/config/station.cpp
+++ b/src/config/station.cpp
@@ -88,6 +88,7 @@
     };
     const char* field = nullptr;
     if (wanted.listen != running.listen) field = "'listen'";
+    if (wanted.management != running.management) field = "'management'";
     if (wanted.descriptors != running.descriptors) field = "'limits.sockets'";
     if (wanted.memory_mb != running.memory_mb) field = "'limits.memory_mb'";
     if (zone(wanted) != zone(running)) field = "'az' (the node's own zone) in 'settings'";
@@ -112,6 +113,7 @@
     s.name = text(need(root, "name"), "name");
     s.listen = read_address(root, "listen");
     s.discovery = read_address(root, "discovery");
+    if (find(root, "management") != nullptr) s.management = read_address(root, "management");
     s.seed = read_seed(need(root, "seed"));
     s.descriptors = kDescriptorsUntold;
     s.memory_mb = kMemoryUntold;
--- a/src/config/station.h
+++ b/src/config/station.h
@@ -36,6 +36,7 @@
     std::string name;
     std::string listen;
     std::string discovery;
+    std::string management;  // where operators call; empty: nowhere
     std::uint64_t seed = 0;
     int descriptors = 0;
     int memory_mb = 0;
--- a/src/kit/daemon.cpp
+++ b/src/kit/daemon.cpp
@@ -44,6 +44,8 @@
     return out.str();
 }
 
+constexpr int kInherited = 5;
+
 }  // namespace
 
 Daemon::~Daemon() { kill(); }
@@ -59,9 +61,15 @@
     // Made before the fork: in a child of many threads nothing may be allocated.
     std::vector<char*> environment;
     for (char** at = environ; *at != nullptr; ++at) {
-        if (!std::string_view(*at).starts_with("GW_CONFIG=")) environment.push_back(*at);
+        const std::string_view entry(*at);
+        if (!place_.tmp.empty() && entry.starts_with("TMPDIR=")) continue;
+        if (!entry.starts_with("GW_")) environment.push_back(*at);
     }
     environment.push_back(const_cast<char*>(config.c_str()));
+    std::string tmp = "TMPDIR=" + place_.tmp;
+    if (!place_.tmp.empty()) environment.push_back(tmp.data());
+    std::string accept = "GW_ACCEPT_FD=" + std::to_string(kInherited);
+    if (place_.listener >= 0) environment.push_back(accept.data());
     environment.push_back(nullptr);
     const pid_t parent = getpid();
     pid_ = fork();
@@ -82,7 +90,13 @@
     dup2(none, 0);
     dup2(out, 1);
     dup2(out, 2);
-    for (int fd = 3; fd < 1024; ++fd) close(fd);
+    if (place_.listener >= 0) {
+        dup2(place_.listener, kInherited);
+        fcntl(kInherited, F_SETFD, 0);
+    }
+    for (int fd = 3; fd < 1024; ++fd) {
+        if (fd != kInherited || place_.listener < 0) close(fd);
+    }
     sigset_t all;
     sigfillset(&all);
     sigprocmask(SIG_UNBLOCK, &all, nullptr);
--- a/src/kit/daemon.h
+++ b/src/kit/daemon.h
@@ -28,6 +28,8 @@
         std::string folder;     // for its configuration and its log
         std::string name;
         int cpu = -1;           // the core that it is held to; -1: any
+        int listener = -1;      // a listening socket that it inherits as descriptor 5, named in GW_ACCEPT_FD; -1: none
+        std::string tmp = {};   // its TMPDIR; empty: as this process has it
     };
     explicit Daemon(Place place) : place_(std::move(place)) {}
     ~Daemon();
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -40,11 +40,15 @@
 
 Clients::~Clients() { watch_listener(false); }
 
-bool Clients::listen(const std::string& address, std::string& complaint) {
-    listener_ = listen_on(address, complaint);
-    if (listener_ == nullptr) return false;
+void Clients::listen(SocketRef listener) {
+    listener_ = std::move(listener);
     watch_listener(true);
-    return true;
+}
+
+void Clients::stop_accepting() {
+    timers_.call_off(accept_again_);
+    watch_listener(false);
+    listener_.reset();
 }
 
 void Clients::watch_listener(bool on) {
@@ -177,6 +181,7 @@
     const double now = monotonic();
     for (auto& [id, c] : clients_) {
         if (!c.stream->closed()) age(id, c, now);
+        if (winding_down_ && !c.stream->closed()) close_if_done(id, c);
     }
     part_with_idle(now);
     timers_.at(now + kAgeEvery, [this] { age(); });
@@ -248,6 +253,8 @@
 void Clients::close_if_done(std::uint64_t id, Client& c) {
     const bool done = c.last ? c.pending.empty() : winding_down_ && between_commands(c);
     if (!done || c.finishing) return;
+    // Nothing is on its way out to it: its descriptor is free at once, which another process may need.
+    if (winding_down_ && !c.last && c.stream->unwritten() == 0) return drop(id, c);
     c.last = c.finishing = true;
     c.stream->finish();
     linger(id, c);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -34,10 +34,12 @@
     Clients(const Clients&) = delete;
     Clients& operator=(const Clients&) = delete;
 
-    bool listen(const std::string& address, std::string& complaint);
+    void listen(SocketRef listener);
+    void stop_accepting();  // the listener may be another process's too, which goes on
     void answer(const Asker& asker, std::string text);
     // From now on each connection is closed once it has nothing to be answered.
     void wind_down();
+    bool none() const { return live_ == 0; }
     bool quiet_since(double time) const;  // nothing is owed to anyone, and nobody has asked
     void sweep();
 
--- a/src/net/http1.cpp
+++ b/src/net/http1.cpp
@@ -62,14 +62,8 @@
     return std::any_of(r.headers.begin(), r.headers.end(), [name](const auto& h) { return h.first == name; });
 }
 
-bool read_head(std::string_view head, HttpResponse& r) {
-    std::size_t end = std::min(head.find(kEnd), head.size());
-    const std::string_view first = head.substr(0, end);
-    std::size_t status = 0;
-    if (!first.starts_with("HTTP/1.") || first.size() < 12 || first[8] != ' ') return false;
-    if (!read_digits(first.substr(9, 3), status) || status < 100) return false;
-    r.status = static_cast<int>(status);
-    r.keep_open = first[7] != '0';
+// The lines of a head behind its first one, which ends at `end`.
+bool read_fields(std::string_view head, std::size_t end, HttpResponse& r) {
     for (std::size_t at = end + kEnd.size(); at < head.size(); at = end + kEnd.size()) {
         end = std::min(head.find(kEnd, at), head.size());
         const std::string_view line = head.substr(at, end - at);
@@ -82,6 +76,18 @@
         if (framing && has(r, name) && r.header(name) != value) return false;
         r.headers.emplace_back(name, value);
     }
+    return true;
+}
+
+bool read_head(std::string_view head, HttpResponse& r) {
+    const std::size_t end = std::min(head.find(kEnd), head.size());
+    const std::string_view first = head.substr(0, end);
+    std::size_t status = 0;
+    if (!first.starts_with("HTTP/1.") || first.size() < 12 || first[8] != ' ') return false;
+    if (!read_digits(first.substr(9, 3), status) || status < 100) return false;
+    r.status = static_cast<int>(status);
+    r.keep_open = first[7] != '0';
+    if (!read_fields(head, end, r)) return false;
     const std::string connection = lowered(r.header("connection"));
     if (connection.find("close") != std::string::npos) r.keep_open = false;
     if (connection.find("keep-alive") != std::string::npos) r.keep_open = true;
@@ -122,6 +128,29 @@
     return out;
 }
 
+std::size_t read_request(std::string_view in, HttpRequest& r) {
+    r = {};
+    const std::size_t line_end = in.find(kEnd);
+    if (line_end == std::string_view::npos) return in.size() > kHeadMost ? in.size() : 0;
+    const std::string_view line = in.substr(0, line_end);
+    const std::size_t after_method = line.find(' ');
+    const std::size_t before_version = line.rfind(' ');
+    if (after_method == std::string_view::npos || before_version <= after_method) return in.size();
+    const std::string_view method = line.substr(0, after_method);
+    const std::string_view target = line.substr(after_method + 1, before_version - after_method - 1);
+    const std::string_view version = line.substr(before_version + 1);
+    const bool plain = is_token(method) && is_token(target) && target.starts_with('/');
+    if (!plain || (version != "HTTP/1.1" && version != "HTTP/1.0")) return in.size();
+    const std::size_t end = in.find("\r\n\r\n", line_end);
+    if (end == std::string_view::npos) return in.size() > kHeadMost ? in.size() : 0;
+    HttpResponse fields;
+    if (!read_fields(in.substr(0, end), line_end, fields)) return in.size();
+    r.sound = true;
+    r.method = method;
+    r.target = target;
+    return end + 4;
+}
+
 std::size_t read_response(std::string_view in, std::size_t body_most, HttpResponse& r) {
     std::size_t start = 0;
     while (true) {
--- a/src/net/http1.h
+++ b/src/net/http1.h
@@ -20,12 +20,20 @@
     std::string_view header(std::string_view name) const;  // empty if there is none
 };
 
+struct HttpRequest {
+    bool sound = false;  // false: this is no request of HTTP/1.1
+    std::string method, target;
+};
+
 using HttpHeaders = std::vector<std::pair<std::string_view, std::string_view>>;
 
 std::string http_request(std::string_view method, std::string_view target, std::string_view host,
                          const HttpHeaders& headers, std::string_view body);
 std::string path_of(std::string_view segment);  // percent-encoded where a path needs it
 
+// How many bytes the first request's head takes; 0: it is not whole yet. What body may follow is not read.
+std::size_t read_request(std::string_view in, HttpRequest& out);
+
 // How many bytes the first response takes; 0: it is not whole yet. Bodies over `body_most` are not sound.
 std::size_t read_response(std::string_view in, std::size_t body_most, HttpResponse& out);
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -10,10 +10,10 @@
 namespace brookrelay {
 namespace {
 
-// Descriptors: some for the listener, discovery, the loop and the log; the rest is shared out once, so that
+// Descriptors: some for the listeners, operators, discovery, the loop and the log; the rest is shared out once, so that
 // neither side's flood can leave the other without any. Each forward belongs to some client, but not every
 // client has one out, so the clients' part is the larger.
-constexpr int kDescriptorsKept = 16;
+constexpr int kDescriptorsKept = 16 + static_cast<int>(Management::kPlaces);
 constexpr double kClientsPart = 0.6;
 
 // After SIGTERM. The front goes on sending here for a while; whoever is still unanswered near the kill (which
@@ -67,7 +67,8 @@
                   listed(now, told.whole ? ListKind::whole : ListKind::change, told);
               });
           },
-          [this] { inbox_.emplace_back([this](double now) { balancer_->list_failed(now); }); }) {
+          [this] { inbox_.emplace_back([this](double now) { balancer_->list_failed(now); }); }),
+      management_(timers_, log, [this](std::uint64_t caller, const HttpRequest& call) { operators_call(caller, call); }) {
     if (operator_file.registry_addresses.empty()) return;
     const auto read = [this](const std::string&, const std::string& data, std::string& why) -> std::optional<Registration> {
         try {
@@ -82,7 +83,17 @@
         station.seed, read, [this](std::vector<RegistrationChange>&& changes) { registered(changes); });
 }
 
-bool Node::start(std::string& complaint) {
+bool Node::start(int inherited, std::string& complaint) {
+    shared_ = inherited >= 0;
+    SocketRef listener = shared_ ? inherited_listener(inherited, complaint) : listen_on(station_.listen, complaint);
+    if (listener == nullptr) {
+        complaint = (shared_ ? "GW_ACCEPT_FD: " : "field 'listen': ") + complaint;
+        return false;
+    }
+    if (!station_.management.empty() && !management_.listen(station_.management, complaint)) {
+        complaint = "field 'management': " + complaint;
+        return false;
+    }
     inbox_.emplace_back([this](double now) { listed(now, ListKind::disk, station_.known); });
     turn();
     if (registry_ != nullptr) {
@@ -90,7 +101,9 @@
     } else if (!station_.deployment.ask_for_list) {
         discovery_.watch();
     }
-    return clients_.listen(station_.listen, complaint);
+    clients_.listen(std::move(listener));
+    takes_clients_ = true;
+    return true;
 }
 
 void Node::turn() {
@@ -105,6 +118,7 @@
     to_settle_.clear();
     pool_.sweep();
     clients_.sweep();
+    management_.sweep();
 }
 
 // All or nothing: whatever speaks against the new settings is found before the first of them is taken. What has
@@ -441,17 +455,35 @@
     free_.push_back(inv);
 }
 
+// ---- the operators' calls ----------------------------------------------------------------------------
+
+void Node::operators_call(std::uint64_t caller, const HttpRequest& call) {
+    const auto say = [this, caller](int status, const char* text) { management_.answer(caller, status, text); };
+    if (call.target != "/control/ready") return say(404, "no such path");
+    if (call.method != "GET") return say(405, "the method here is GET");
+    return takes_clients_ ? say(200, "ready") : say(503, "ends, and takes no new clients");
+}
+
 // ---- winding down ------------------------------------------------------------------------------------
 
 void Node::wind_down() {
     if (closes_at_ > 0) return;
-    log_.line(Topic::node, "told_to_end", "told to end: serves on until the front has moved away");
+    log_.line(Topic::node, "told_to_end",
+              shared_ ? "told to end: the other processes on the listener take who comes"
+                      : "told to end: serves on until the front has moved away");
     double longest = 0;
     for (const Operation& op : station_.deployment.operations) longest = std::max(longest, op.client_timeout);
     const double left = std::min(longest, kKillMost) + kBeforeKill;
     const double now = monotonic();
     last_answers_at_ = now + left;
     // Where client timeouts are short the kill comes early, and what was taken must be answered before it.
+    takes_clients_ = false;
+    if (shared_) {
+        closes_at_ = now;
+        clients_.stop_accepting();
+        clients_.wind_down();
+        return look_whether_done();
+    }
     closes_at_ = now + std::min(kServeOn, left / 2);
     timers_.at(closes_at_, [this] { clients_.wind_down(); });
     look_whether_done();
@@ -459,7 +491,8 @@
 
 void Node::look_whether_done() {
     const double now = monotonic();
-    if (now - closes_at_ >= kFrontMovesAway && clients_.quiet_since(now - kQuiet) && open_ == 0) {
+    const bool left = shared_ ? clients_.none() : now - closes_at_ >= kFrontMovesAway && clients_.quiet_since(now - kQuiet);
+    if (left && open_ == 0) {
         done_ = true;
     } else if (now >= last_answers_at_ && open_ > 0) {
         log_.line(Topic::node, "errored_before_kill", std::to_string(open_) + " invocations errored before the kill");
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -18,6 +18,7 @@
 #include "clients.h"
 #include "discovery.h"
 #include "log.h"
+#include "management.h"
 #include "operator.h"
 #include "pool.h"
 #include "registry.h"
@@ -29,7 +30,8 @@
 class Node final : public Host {
   public:
     Node(const Station& station, const OperatorFile& operator_file, Log& log);
-    bool start(std::string& complaint);  // listens: from here on it can serve
+    // Listens: from here on it can serve. `inherited`: the clients' listener, shared with other processes; else -1.
+    bool start(int inherited, std::string& complaint);
     void turn();
     bool has_work() const { return !inbox_.empty(); }
     void reload(const Station& station);  // all of it that can be live, or nothing
@@ -80,6 +82,7 @@
     void finish(int inv);
     void settle(int inv);
     void look_whether_done();
+    void operators_call(std::uint64_t caller, const HttpRequest& call);
 
     Station station_;
     Log& log_;
@@ -89,6 +92,7 @@
     Pool pool_;
     Clients clients_;
     Discovery discovery_;
+    Management management_;
     bool registry_heard_ = false;
     std::unique_ptr<Registry> registry_;  // in the place of discovery, where the operators have it so
     std::vector<Happening> inbox_;
@@ -106,6 +110,8 @@
     double closes_at_ = 0;        // the clients' connections; 0: not told to end
     double last_answers_at_ = 0;  // some time before the kill
     bool done_ = false;
+    bool takes_clients_ = false;
+    bool shared_ = false;  // the clients' listener is another process's too
 };
 
 }  // namespace brookrelay
--- a/src/net/serve.cpp
+++ b/src/net/serve.cpp
@@ -3,7 +3,10 @@
 #include <glib-unix.h>
 
 #include <cstdio>
+#include <cstdlib>
 
+#include "address.h"
+#include "digits.h"
 #include "exit_codes.h"
 #include "json.h"
 #include "node.h"
@@ -19,22 +22,44 @@
     Node& node;
 };
 
+// The environment goes before the file: two processes of one node may share the file, but not this address.
+Station read_own_station(const std::string& path) {
+    Station station = read_station(path);
+    const char* said = std::getenv("GW_MANAGEMENT");
+    if (said == nullptr || *said == 0) return station;
+    if (!parse_address(said)) throw BadInput(std::string("GW_MANAGEMENT is not an address and port: '") + said + "'");
+    station.management = said;
+    return station;
+}
+
 // A file that is wrong must not cost the service that an older one keeps up.
 void read_again(const Running& running) {
     try {
-        running.node.reload(read_station(running.path));
+        running.node.reload(read_own_station(running.path));
     } catch (const BadInput& bad) {
         running.log.line(Topic::node, "configuration_refused",
                          "new configuration not taken, the old one stays: " + std::string(bad.what()));
     }
 }
 
+// The listener that the platform holds and hands to each process, if it does: -1 if not.
+int inherited_descriptor() {
+    const char* said = std::getenv("GW_ACCEPT_FD");
+    if (said == nullptr || *said == 0) return -1;
+    int descriptor = 0;
+    if (!read_digits(std::string_view(said), descriptor))
+        throw BadInput(std::string("GW_ACCEPT_FD is no descriptor: '") + said + "'");
+    return descriptor;
+}
+
 }  // namespace
 
 int serve(const std::string& path, const OperatorFile& operator_file) {
     Station station;
+    int inherited = -1;
     try {
-        station = read_station(path);
+        station = read_own_station(path);
+        inherited = inherited_descriptor();
     } catch (const BadInput& bad) {
         std::fprintf(stderr, "brookrelay: %s: %s\n", path.c_str(), bad.what());
         return kWrongUse;
@@ -54,8 +79,8 @@
     g_unix_signal_add(SIGINT, told_to_end, &running);
     g_unix_signal_add(SIGHUP, told_to_read, &running);
     std::string complaint;
-    if (!node.start(complaint)) {
-        std::fprintf(stderr, "brookrelay: field 'listen': %s\n", complaint.c_str());
+    if (!node.start(inherited, complaint)) {
+        std::fprintf(stderr, "brookrelay: %s\n", complaint.c_str());
         return kBroken;
     }
     log.line(Topic::node, "serves", "serves on " + station.listen);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <utility>
@@ -54,12 +55,31 @@
     return nullptr;
 }
 
-Stream::Stream(SocketRef accepted, std::size_t in_most, ByteBudget& budget, Told told)
+SocketRef inherited_listener(int descriptor, std::string& complaint) {
+    int listens = 0;
+    socklen_t size = sizeof listens;
+    GError* error = nullptr;
+    SocketRef socket;
+    // Asked first: what is no socket, or does not listen, stays whoever's it is.
+    if (getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 && listens != 0)
+        socket.reset(g_socket_new_from_fd(descriptor, &error));
+    const ErrorRef why(error);
+    if (socket == nullptr) {
+        complaint = "descriptor " + std::to_string(descriptor) + " is no listening socket" +
+                    (why ? std::string(": ") + why->message : "");
+        return nullptr;
+    }
+    g_socket_set_blocking(socket.get(), FALSE);
+    return socket;
+}
+
+Stream::Stream(SocketRef accepted, std::size_t in_most, ByteBudget& budget, Told told, int priority)
     : socket_(std::move(accepted)),
       state_(State::up),
       in_most_(in_most),
       budget_(budget),
-      told_(std::move(told)) {
+      told_(std::move(told)),
+      priority_(priority) {
     prepare(socket_.get());
     watch_input();
 }
@@ -87,6 +107,7 @@
 void Stream::watch(GSource*& source, GIOCondition condition, OnSocket on_ready) {
     if (source != nullptr) return;
     source = g_socket_create_source(socket_.get(), condition, nullptr);
+    g_source_set_priority(source, priority_);
     g_source_set_callback(source, G_SOURCE_FUNC(on_ready), this, nullptr);
     g_source_attach(source, nullptr);
 }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -24,6 +24,8 @@
 using ErrorRef = std::unique_ptr<GError, Freed>;
 
 SocketRef listen_on(const std::string& address, std::string& complaint);
+// A listening socket that this process was given and may share: it is never bound, and never shut down.
+SocketRef inherited_listener(int descriptor, std::string& complaint);
 
 // What the buffers of one side's connections hold together, and may: each is bounded by itself, but many that
 // are full at once would be more than the node's memory. Its owner looks, and parts with what is too much.
@@ -38,7 +40,8 @@
     enum class News { up, input, drained, ended };
     using Told = std::function<void(News)>;
 
-    Stream(SocketRef accepted, std::size_t in_most, ByteBudget& budget, Told told);
+    Stream(SocketRef accepted, std::size_t in_most, ByteBudget& budget, Told told,
+           int priority = G_PRIORITY_DEFAULT);
     Stream(const std::string& address, std::size_t in_most, ByteBudget& budget, Told told);  // connects
     ~Stream() { close(); }
     Stream(const Stream&) = delete;
@@ -90,6 +93,7 @@
     std::string out_;
     bool finishing_ = false;
     Told told_;
+    int priority_ = G_PRIORITY_DEFAULT;
 };
 
 }  // namespace brookrelay
--- /dev/null
+++ b/tests/fleet.h
@@ -0,0 +1,211 @@
+// A node of the program before scripted caches, an origin and discovery, for the tests that speak to it as clients
+// and operators would. Nothing here hangs on how fast the machine is: each wait is for something to happen, and
+// its limit is only there to end a test that has already failed.
+#pragma once
+
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cassert>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <list>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "conn.h"
+#include "daemon.h"
+#include "scripted_peer.h"
+
+namespace brookrelay::kit {
+
+
+template <typename Condition>
+void wait_for(Condition condition) {
+    for (int ms = 0; ms < kPatienceMs; ms += 5) {
+        if (condition()) return;
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    assert(!"what was waited for never came");
+}
+
+inline std::string id_in(const std::string& command) {
+    const std::size_t at = command.find(" O") + 2;
+    return command.substr(at, command.find_first_of(" \r", at) - at);
+}
+inline Act hit(const std::string& command) { return {"VA 5 O" + id_in(command) + " h1\r\nhello\r\n"}; }
+inline Act miss(const std::string& command) { return {"EN O" + id_in(command) + " h0\r\n"}; }
+inline Act silent(const std::string&) { return {}; }
+inline std::string http(const std::string& body, const std::string& status = "200 OK") {
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+inline std::string read_of(const std::string& key, const std::string& id, int ms = 10000) {
+    return "mg " + key + " v O" + id + " Pc=read,t=acme,d=" + std::to_string(ms) + "\r\n";
+}
+
+inline std::string next_name() {
+    static int count = 0;
+    return "brookrelay_node_" + std::to_string(getpid()) + "_" + std::to_string(++count);
+}
+
+struct Around {
+    int descriptors = 256;
+    int connect_timeout_ms = 250;
+    ScriptedPeer::Script watch = silent;
+    bool aside = true;  // false: caches fetch for themselves, and no origin is listed
+    int memory_mb = 192;
+    bool managed = false;    // has an operators' address
+    bool inherited = false;  // accepts on a listener that the test holds
+    std::string tmp = {};    // its TMPDIR; empty: the test's
+};
+
+// A process of the node's beside the first: the same listener and TMPDIR, an operators' address of its own.
+struct Process {
+    std::unique_ptr<Daemon> daemon;
+    int management = 0;
+    Process(std::unique_ptr<Daemon> started, int address) : daemon(std::move(started)), management(address) {}
+    Process(Process&&) = default;
+    ~Process() {
+        if (daemon == nullptr) return;
+        daemon->kill();
+        std::remove(daemon->config_path().c_str());
+        std::remove(daemon->log_path().c_str());
+    }
+};
+
+// One node before `count` caches, an origin and discovery.
+class Fleet {
+  public:
+    explicit Fleet(std::size_t count, Around around = {}) {
+        for (std::size_t i = 0; i < count; ++i) caches.emplace_back(false).plays(hit);
+        origin.plays([](const std::string&) { return Act{http("made")}; });
+        discovery.plays(std::move(around.watch));
+        listener_ = bound_socket(port_);
+        if (around.inherited) {
+            listen(listener_, 1024);
+        } else {
+            close(listener_);
+            listener_ = -1;
+        }
+        tmp_ = around.tmp;
+        daemon_ = std::make_unique<Daemon>(Daemon::Place{BROOKRELAY_PROGRAM, "/tmp", next_name(), -1, listener_, tmp_});
+        if (around.managed) management_ = free_address();
+        std::string hosts = around.aside ? entry("origin", origin, "SERVING") : "";
+        for (ScriptedPeer& c : caches) hosts += (hosts.empty() ? "" : ",") + entry(name(c), c, "SERVING");
+        std::ostringstream told;
+        told << R"({"name":"n1","listen":")" << own_loopback() << ":" << port_ << R"(","discovery":")"
+             << discovery.address() << '"' << managed_at(management_) << R"(,"seed":"1f","limits":{"sockets":)" << around.descriptors
+             << R"(,"memory_mb":)" << around.memory_mb << R"(},"known":{"seq":7,"whole":true,"hosts":[)"
+             << hosts << R"(]},"settings":{"az":0,"balancers":2,"localities":["a"],"kinds":["m","origin"],
+ "discovery":"pushed","granularity_us":5000,"guarantees":{"grace_to_answer_us":20000},
+ "permissions":{"cancel":true,"most_forwards":5,"connect_timeout_us":)"
+             << around.connect_timeout_ms << R"(000,"conn_idle_us":15000000},
+ "specifics":{"mode":")"
+             << (around.aside ? "aside" : "through") << R"(","origin_kind":1},"operations":[
+ {"name":"read","repeat":"idempotent","client_timeout_us":2000000,"latency_objective_us":1000000,
+  "tardy_billed_value":0.2},
+ {"name":"put","repeat":"deduplicated","group":"all","key_ttl_us":3000000,"client_timeout_us":2000000}]}})";
+        told_ = told.str();
+        configure(told_);
+        daemon_->start();
+        wait_for([this] { return Line(own_loopback(), port_).up(); });
+        Line line(own_loopback(), port_);
+        line.send("mn\r\n");
+        assert(line.until("\r\n") == "MN\r\n");
+    }
+    ~Fleet() {
+        daemon_->kill();
+        if (listener_ >= 0) close(listener_);
+        std::remove(daemon_->config_path().c_str());
+        std::remove(daemon_->log_path().c_str());
+    }
+    Fleet(const Fleet&) = delete;
+    Fleet& operator=(const Fleet&) = delete;
+
+    static std::string name(const ScriptedPeer& s) { return "s-" + std::to_string(s.port); }
+    static std::string entry(const std::string& host, const ScriptedPeer& s, const char* health) {
+        return R"({"host":")" + host + R"(","dial":")" + s.address() + R"(","site":"a","class":")" +
+               (host == "origin" ? "origin" : "m") + R"(","block":0,"health":")" + health +
+               R"(","share":1.0,"born_ms":0})";
+    }
+    int port() const { return port_; }
+    int management() const { return management_; }
+    Daemon& daemon() const { return *daemon_; }
+    static int free_address() {
+        int port = 0;
+        close(bound_socket(port));
+        return port;
+    }
+    static std::string managed_at(int port) {
+        return port == 0 ? "" : R"(,"management":")" + own_loopback() + ":" + std::to_string(port) + '"';
+    }
+    // Another process of this node, with the same files and listener.
+    Process second() const {
+        Process p(std::make_unique<Daemon>(Daemon::Place{BROOKRELAY_PROGRAM, "/tmp", next_name(), -1, listener_, tmp_}), free_address());
+        p.daemon->configure(told_with(managed_at(management_), managed_at(p.management)));
+        p.daemon->start();
+        return p;
+    }
+    // What an operator's call is answered: the status, or 0 when it is none.
+    static int call(int port, const std::string& method, const std::string& target) {
+        Line line(own_loopback(), port);
+        if (!line.up()) return 0;
+        line.send(method + " " + target + " HTTP/1.1\r\nHost: node\r\n\r\n");
+        const std::string head = line.until("\r\n");
+        return head.starts_with("HTTP/1.1 ") ? std::atoi(head.c_str() + 9) : 0;
+    }
+    void signal(int number) const { daemon_->signal(number); }
+    void configure(const std::string& text) const { daemon_->configure(text); }
+    // The configuration with one of its texts in another's place.
+    std::string told_with(const std::string& from, const std::string& to) const {
+        std::string text = told_;
+        const std::size_t at = text.find(from);
+        assert(at != std::string::npos);
+        return text.replace(at, from.size(), to);
+    }
+    bool logged(const std::string& text) const {
+        std::ifstream file(daemon_->log_path());
+        return std::string(std::istreambuf_iterator<char>(file), {}).find(text) != std::string::npos;
+    }
+    int times_logged(const std::string& text) const {
+        std::ifstream file(daemon_->log_path());
+        const std::string all(std::istreambuf_iterator<char>(file), {});
+        int n = 0;
+        for (std::size_t at = 0; (at = all.find(text, at)) != std::string::npos; at += text.size()) ++n;
+        return n;
+    }
+    bool alive() const { return daemon_->running(); }
+    int exit_code() {
+        wait_for([this] { return !daemon_->running(); });
+        return daemon_->exit_code();
+    }
+    std::string ask(const std::string& command) const {
+        Line line(own_loopback(), port_);
+        line.send(command);
+        return line.until("\r\n");
+    }
+
+    std::list<ScriptedPeer> caches;
+    ScriptedPeer origin{true};
+    ScriptedPeer discovery{true};
+
+  private:
+    int port_ = 0;
+    int management_ = 0;
+    int listener_ = -1;
+    std::string tmp_;
+    std::unique_ptr<Daemon> daemon_;
+    std::string told_;
+};
+
+}  // namespace brookrelay::kit
