--- a/src/config/station.h
+++ b/src/config/station.h
@@ -37,6 +37,7 @@
     std::string listen;
     std::string discovery;
     std::string management;  // where operators call; empty: nowhere
+    std::string scratch;     // the folder that all processes of this node share; empty: there is none
     std::uint64_t seed = 0;
     int descriptors = 0;
     int memory_mb = 0;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -29,6 +29,8 @@
 constexpr double kForgetEvery = 1.0;  // s between looks, while a server that is gone is not forgotten yet
 constexpr double kProbeLimit = 0.5;   // s; a probe has no limit of its own
 
+constexpr double kLookByHand = 0.025;  // s between looks for what another process of this node was told
+
 constexpr std::size_t kBytesPart = 4;  // of the memory: what each side's buffers may hold together
 
 std::size_t bytes(int memory_mb) { return static_cast<std::size_t>(memory_mb) * 1'000'000 / kBytesPart; }
@@ -37,6 +39,14 @@
     return static_cast<std::size_t>((descriptors - kDescriptorsKept) * part);
 }
 
+// Nodes on one machine may have one folder for what they keep.
+std::string own_folder(const Station& s) {
+    if (s.scratch.empty()) return {};
+    std::string name = s.name + "-" + s.listen;
+    std::replace(name.begin(), name.end(), '/', '_');
+    return s.scratch + "/brookrelay-" + name;
+}
+
 // FNV-1a: the same at every node, as the ring needs it; the module mixes it further.
 std::uint64_t key_number(std::string_view key) {
     std::uint64_t h = 0xcbf29ce484222325ULL;
@@ -68,7 +78,8 @@
               });
           },
           [this] { inbox_.emplace_back([this](double now) { balancer_->list_failed(now); }); }),
-      management_(timers_, log, [this](std::uint64_t caller, const HttpRequest& call) { operators_call(caller, call); }) {
+      management_(timers_, log, [this](std::uint64_t caller, const HttpRequest& call) { operators_call(caller, call); }),
+      by_hand_(own_folder(station)) {
     if (operator_file.registry_addresses.empty()) return;
     const auto read = [this](const std::string&, const std::string& data, std::string& why) -> std::optional<Registration> {
         try {
@@ -94,6 +105,7 @@
         complaint = "field 'management': " + complaint;
         return false;
     }
+    by_hand_.look(wall_less_monotonic_ + monotonic());
     inbox_.emplace_back([this](double now) { listed(now, ListKind::disk, station_.known); });
     turn();
     if (registry_ != nullptr) {
@@ -102,6 +114,7 @@
         discovery_.watch();
     }
     clients_.listen(std::move(listener));
+    timers_.at(monotonic(), [this] { look_by_hand(); });
     takes_clients_ = true;
     return true;
 }
@@ -268,9 +281,11 @@
 void Node::listed(double now, ListKind kind, const ServerList& list) {
     std::vector<Listing> entries;
     std::unordered_set<int> told_of;
+    std::vector<std::string> first_seen;
     for (const ListedServer& told : list.servers) {
         // What is gone and was never known, or is forgotten by now, must not become known by that.
         if (told.standing == Standing::gone && !cache_index_.contains(told.name)) continue;
+        if (!cache_index_.contains(told.name)) first_seen.push_back(told.name);
         const int cache = number_of(told.name);
         told_of.insert(cache);
         Known& s = server(cache);
@@ -281,8 +296,9 @@
         if (told.kind >= 0) s.kind = told.kind;
         if (told.cell >= 0) s.cell = told.cell;
         if (told.size > 0) s.size = told.size;
+        s.by_hand = by_hand_.of(told.name);
         entries.push_back(listing(cache));
-        pool_.know(cache, s.name, s.address, s.kind >= 0 && s.kind == station_.deployment.origin_kind);
+        pool_.know(cache, s.name, s.address, is_origin(s));
     }
     for (const auto& [name, cache] : cache_index_) {
         Known& s = server(cache);
@@ -290,7 +306,7 @@
             s.standing = Standing::gone;
             entries.push_back(listing(cache));
         }
-        if (s.standing != Standing::ready) pool_.withdraw(cache);
+        if (!takes_new(cache)) pool_.withdraw(cache);
         if (s.standing != Standing::gone) {
             s.gone_since = 0;
         } else if (s.gone_since == 0) {
@@ -303,6 +319,7 @@
                                         std::to_string(cache_index_.size()) + " known" +
                                         (list.whole ? " (whole list)" : ""));
     }
+    if (!first_seen.empty()) by_hand_.listed(first_seen);
     balancer_->listed(now, kind, entries);
     forget_gone();
 }
@@ -329,6 +346,13 @@
     inbox_.emplace_back([this, told = std::move(list)](double now) { listed(now, ListKind::change, told); });
 }
 
+bool Node::is_origin(const Known& s) const { return s.kind >= 0 && s.kind == station_.deployment.origin_kind; }
+
+bool Node::takes_new(int cache) const {
+    const Known& s = servers_[static_cast<std::size_t>(cache)];
+    return s.standing == Standing::ready && (!s.by_hand.out || is_origin(s));
+}
+
 Listing Node::listing(int cache) {
     const Known& s = server(cache);
     Listing l;
@@ -338,8 +362,11 @@
     l.kind = s.kind;
     l.cell = s.cell;
     l.size = s.size;
-    l.standing = s.standing;
-    if (s.born > 0) l.started = std::max(s.born - wall_less_monotonic_, 1e-6);
+    // Out by hand it drains, whatever the list says. Called back it counts as started then: it was not used
+    // meanwhile, and is cold whenever it may have been restarted.
+    l.standing = s.by_hand.out && s.standing == Standing::ready && !is_origin(s) ? Standing::draining : s.standing;
+    const double born = std::max(s.born, s.by_hand.back_at);
+    if (born > 0) l.started = std::max(born - wall_less_monotonic_, 1e-6);
     return l;
 }
 
@@ -385,7 +412,8 @@
 void Node::carry_out_forward(int inv, int number, int cache, double limit) {
     const Invocation& v = invocation(inv);
     const double left = std::min(limit, v.due - monotonic());
-    if (v.over || left <= 0) {
+    // Decided before the turn's news of the server came.
+    if (v.over || left <= 0 || !takes_new(cache)) {
         inbox_.emplace_back([this, e = Pool::Ended{inv, number, cache, Ending::not_sent, 0, {}}](
                                 double now) mutable { ended(now, e); });
         return;
@@ -458,12 +486,66 @@
 // ---- the operators' calls ----------------------------------------------------------------------------
 
 void Node::operators_call(std::uint64_t caller, const HttpRequest& call) {
+    constexpr std::string_view servers = "/control/cache-servers/";
+    constexpr std::string_view offline = "/offline";
+    constexpr std::string_view online = "/online";
     const auto say = [this, caller](int status, const char* text) { management_.answer(caller, status, text); };
-    if (call.target != "/control/ready") return say(404, "no such path");
+    const std::string_view target(call.target);
+    const bool out = target.ends_with(offline);
+    if (target.starts_with(servers) && (out || target.ends_with(online))) {
+        const std::size_t tail = out ? offline.size() : online.size();
+        if (target.size() <= servers.size() + tail) return say(404, "no such path");
+        if (call.method != "POST") return say(405, "the method here is POST");
+        const std::string said(target.substr(servers.size(), target.size() - servers.size() - tail));
+        const std::unique_ptr<char, decltype(&g_free)> name(g_uri_unescape_string(said.c_str(), "/"), &g_free);
+        if (name == nullptr) return say(400, "no id");
+        return call_by_hand(caller, name.get(), out);
+    }
+    if (target != "/control/ready") return say(404, "no such path");
     if (call.method != "GET") return say(405, "the method here is GET");
     return takes_clients_ ? say(200, "ready") : say(503, "ends, and takes no new clients");
 }
 
+// The yes comes after the turn in which the module was told, and what it had asked for before is carried out.
+void Node::call_by_hand(std::uint64_t caller, const std::string& name, bool out) {
+    inbox_.emplace_back([this, caller, name, out](double now) {
+        const auto say = [this, caller](int status, const char* text) {
+            to_do_.emplace_back([this, caller, status, text] { management_.answer(caller, status, text); });
+        };
+        const auto known = cache_index_.find(name);
+        if (known == cache_index_.end() && !by_hand_.ever_listed(name)) return say(404, "no such cache server was ever listed");
+        // Without it no write and no miss could be answered, and there is no other to take its place.
+        if (known != cache_index_.end() && is_origin(server(known->second))) return say(409, "the origin cannot be taken out");
+        if (!(out ? by_hand_.take_out(name) : by_hand_.call_back(name, wall_less_monotonic_ + now)))
+            return say(503, "could not be written down, nothing has changed");
+        log_.line(Topic::node, out ? "taken_out" : "called_back", name + (out ? " taken out by hand" : " called back by hand"));
+        merge_by_hand(now, {name});
+        say(200, out ? "out" : "may serve");
+    });
+}
+
+void Node::merge_by_hand(double now, const std::vector<std::string>& names) {
+    std::vector<Listing> entries;
+    for (const std::string& name : names) {
+        const auto known = cache_index_.find(name);
+        if (known == cache_index_.end()) continue;
+        Known& s = server(known->second);
+        if (s.by_hand == by_hand_.of(name)) continue;
+        s.by_hand = by_hand_.of(name);
+        entries.push_back(listing(known->second));
+        if (!takes_new(known->second)) pool_.withdraw(known->second);
+    }
+    if (!entries.empty()) balancer_->listed(now, ListKind::change, entries);
+}
+
+void Node::look_by_hand() {
+    std::vector<std::string> changed = by_hand_.look(wall_less_monotonic_ + monotonic());
+    if (!changed.empty()) {
+        inbox_.emplace_back([this, names = std::move(changed)](double now) { merge_by_hand(now, names); });
+    }
+    timers_.at(monotonic() + kLookByHand, [this] { look_by_hand(); });
+}
+
 // ---- winding down ------------------------------------------------------------------------------------
 
 void Node::wind_down() {
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "balancer.h"
+#include "by_hand.h"
 #include "clients.h"
 #include "discovery.h"
 #include "log.h"
@@ -61,6 +62,7 @@
     };
     struct Known : ListedServer {
         double gone_since = 0;  // 0: it is not gone
+        ByHand::State by_hand;
     };
     using Happening = std::function<void(double now)>;
 
@@ -83,6 +85,11 @@
     void settle(int inv);
     void look_whether_done();
     void operators_call(std::uint64_t caller, const HttpRequest& call);
+    void call_by_hand(std::uint64_t caller, const std::string& name, bool out);
+    bool is_origin(const Known& s) const;
+    bool takes_new(int cache) const;
+    void merge_by_hand(double now, const std::vector<std::string>& names);
+    void look_by_hand();
 
     Station station_;
     Log& log_;
@@ -104,6 +111,7 @@
     std::unordered_set<std::string> open_ids_;
     // Servers by the small numbers that the module and the pool know them by.
     std::unordered_map<std::string, int> cache_index_;
+    ByHand by_hand_;
     std::deque<Known> servers_;  // names in it are lent to the module while more are added
     std::vector<int> free_numbers_;
     Timers::Handle forgetting_;
--- a/src/net/serve.cpp
+++ b/src/net/serve.cpp
@@ -22,9 +22,11 @@
     Node& node;
 };
 
-// The environment goes before the file: two processes of one node may share the file, but not this address.
+// The environment goes before the file: two processes of one node may share the file, but not the operators'
+// address.
 Station read_own_station(const std::string& path) {
     Station station = read_station(path);
+    if (const char* scratch = std::getenv("TMPDIR")) station.scratch = scratch;
     const char* said = std::getenv("GW_MANAGEMENT");
     if (said == nullptr || *said == 0) return station;
     if (!parse_address(said)) throw BadInput(std::string("GW_MANAGEMENT is not an address and port: '") + said + "'");
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -17,6 +17,7 @@
 #include <iterator>
 #include <list>
 #include <memory>
+#include <mutex>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -208,4 +209,41 @@
     std::string told_;
 };
 
+// Discovery as a test tells it: a watch is answered by the next change, or soon by none.
+class Told {
+  public:
+    ScriptedPeer::Script script() {
+        return [this](const std::string& request) {
+            const std::size_t at = request.find("index=");
+            if (at == std::string::npos) return Act{};
+            const int held = std::stoi(request.substr(at + 6));
+            asked_ = held;
+            for (int ms = 0; ms < 100 && held >= version_; ++ms)
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            const std::lock_guard lock(mutex_);
+            const std::size_t next = static_cast<std::size_t>(held - kFirst);
+            const std::string hosts = next < news_.size() ? news_[next] : "";
+            const bool whole = hosts.starts_with('!');
+            return Act{http(R"({"seq":)" + std::to_string(next < news_.size() ? held + 1 : held) +
+                            R"(,"whole":)" + (whole ? "true" : "false") + R"(,"hosts":[)" + hosts.substr(whole) + "]}")};
+        };
+    }
+    // And waits until the node has it: its next call says so. After a '!' come all the servers there are.
+    void tell(const std::string& hosts) {
+        {
+            const std::lock_guard lock(mutex_);
+            news_.push_back(hosts);
+        }
+        ++version_;
+        wait_for([&] { return asked_ == version_; });
+    }
+
+  private:
+    static constexpr int kFirst = 7;
+    std::atomic<int> version_{kFirst};
+    std::atomic<int> asked_{0};
+    std::mutex mutex_;
+    std::vector<std::string> news_;
+};
+
 }  // namespace brookrelay::kit
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -204,40 +204,6 @@
     assert(fleet.caches.front().heard().empty());
 }
 
-// Discovery as a test tells it: a watch is answered by the next change, or soon by none.
-class Told {
-  public:
-    ScriptedPeer::Script script() {
-        return [this](const std::string& request) {
-            const int held = std::stoi(request.substr(request.find("index=") + 6));
-            asked_ = held;
-            for (int ms = 0; ms < 100 && held >= version_; ++ms)
-                std::this_thread::sleep_for(std::chrono::milliseconds(1));
-            const std::lock_guard lock(mutex_);
-            const std::size_t next = static_cast<std::size_t>(held - kFirst);
-            const std::string hosts = next < news_.size() ? news_[next] : "";
-            return Act{http(R"({"seq":)" + std::to_string(next < news_.size() ? held + 1 : held) +
-                            R"(,"whole":false,"hosts":[)" + hosts + "]}")};
-        };
-    }
-    // And waits until the node has it: its next call says so.
-    void tell(const std::string& hosts) {
-        {
-            const std::lock_guard lock(mutex_);
-            news_.push_back(hosts);
-        }
-        ++version_;
-        wait_for([&] { return asked_ == version_; });
-    }
-
-  private:
-    static constexpr int kFirst = 7;
-    std::atomic<int> version_{kFirst};
-    std::atomic<int> asked_{0};
-    std::mutex mutex_;
-    std::vector<std::string> news_;
-};
-
 // Under its number another server comes to stand; what still comes from the old one must not reach it.
 void gone_servers_are_forgotten() {
     Told told;
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -1,4 +1,6 @@
 // The node as its operators meet it: their address, a new process in the place of the old one.
+#include <filesystem>
+
 #include "fleet.h"
 
 namespace {
@@ -103,7 +105,8 @@
     for (int k = 0; k < 5; ++k) assert(fleet.ask("mn\r\n") == "MN\r\n");
     int fd[2];
     assert(pipe(fd) == 0);
-    Daemon wrong({BROOKRELAY_PROGRAM, "/tmp", next_name(), -1, fd[0]});
+    Process made(std::make_unique<Daemon>(Daemon::Place{BROOKRELAY_PROGRAM, "/tmp", next_name(), -1, fd[0]}), 0);
+    Daemon& wrong = *made.daemon;
     wrong.configure(fleet.told_with("\"pushed\"", "\"pushed\""));
     wrong.start();
     wait_for([&] { return !wrong.running(); });
@@ -113,6 +116,107 @@
     assert(said.find("GW_ACCEPT_FD: descriptor 5 is no listening socket") != std::string::npos);
 }
 
+// A folder of its own for the processes of one node, as the platform's TMPDIR is.
+class Scratch {
+  public:
+    Scratch() { path_ = mkdtemp(path_.data()); }
+    ~Scratch() { std::filesystem::remove_all(path_); }
+    const std::string& path() const { return path_; }
+
+  private:
+    std::string path_ = "/tmp/brookrelay_ops_XXXXXX";
+};
+
+std::string server_call(const std::string& name, const char* what) {
+    return "/control/cache-servers/" + name + "/" + what;
+}
+
+// Reads of many keys; how many of them came to one cache.
+std::size_t heard_of_forty(const Fleet& fleet, ScriptedPeer& cache, const std::string& prefix) {
+    const std::size_t before = cache.heard().size();
+    Line line(own_loopback(), fleet.port());
+    for (int k = 0; k < 40; ++k) {
+        line.send(read_of("k" + std::to_string(k), prefix + std::to_string(k)));
+        assert(line.until("hello\r\n").ends_with("hello\r\n"));
+    }
+    return cache.heard().size() - before;
+}
+
+// From the yes on nothing goes there, whatever the list says meanwhile; one call back ends it.
+void a_cache_out_by_hand_gets_nothing_whatever_the_list_says() {
+    const Scratch scratch;
+    Told told;
+    Around around = run_by_operators();
+    around.tmp = scratch.path();
+    around.watch = told.script();
+    Fleet fleet(2, around);
+    ScriptedPeer& cache = fleet.caches.front();
+    const std::string name = Fleet::name(cache);
+    const std::string other = Fleet::entry(Fleet::name(fleet.caches.back()), fleet.caches.back(), "SERVING") + "," +
+                              Fleet::entry("origin", fleet.origin, "SERVING");
+    const auto call = [&](const std::string& id, const char* what) {
+        return Fleet::call(fleet.management(), "POST", server_call(id, what));
+    };
+    assert(heard_of_forty(fleet, cache, "a") > 0);
+    assert(call(name, "offline") == 200);
+    const std::string deleted = R"({"host":")" + name + R"(","health":"DELETED"})";
+    int round = 0;
+    for (const std::string& news :
+         {std::string(), Fleet::entry(name, cache, "SERVING"), Fleet::entry(name, cache, "DRAINING"), deleted,
+          Fleet::entry(name, cache, "SERVING"), "!" + other, "!" + other + "," + Fleet::entry(name, cache, "SERVING")}) {
+        if (!news.empty()) told.tell(news);
+        assert(heard_of_forty(fleet, cache, "b" + std::to_string(round++) + "-") == 0);
+    }
+    assert(call(name, "offline") == 200 && call(name, "offline") == 200 && call(name, "online") == 200);
+    assert(heard_of_forty(fleet, cache, "c") > 0);
+    assert(call(name, "online") == 200);
+    wait_for([&] {
+        told.tell("!" + other);
+        return fleet.logged(" 2 known (whole list)");
+    });
+    assert(call(name, "offline") == 200);  // forgotten, but it was listed once
+    told.tell(Fleet::entry(name, cache, "SERVING"));
+    assert(heard_of_forty(fleet, cache, "d") == 0);
+    struct Case {
+        std::string target;
+        int status;
+    };
+    for (const Case& c : std::initializer_list<Case>{{server_call("never", "offline"), 404},
+                                                     {server_call("never", "online"), 404},
+                                                     {server_call("origin", "offline"), 409},
+                                                     {server_call("", "offline"), 404},
+                                                     {server_call("%zz", "offline"), 400},
+                                                     {server_call(name, "away"), 404}})
+        assert(Fleet::call(fleet.management(), "POST", c.target) == c.status);
+    assert(Fleet::call(fleet.management(), "GET", server_call(name, "online")) == 405);
+    assert(heard_of_forty(fleet, cache, "e") == 0);
+}
+
+// What one process is told the other keeps to, also one that starts later, or after the first was killed.
+void a_ban_holds_for_all_processes_of_the_node() {
+    const Scratch scratch;
+    Around around = run_by_operators();
+    around.inherited = true;
+    around.tmp = scratch.path();
+    Fleet fleet(2, around);
+    ScriptedPeer& first = fleet.caches.front();
+    ScriptedPeer& last = fleet.caches.back();
+    assert(Fleet::call(fleet.management(), "POST", server_call(Fleet::name(first), "offline")) == 200);
+    Process next = fleet.second();
+    wait_for([&] { return Fleet::call(next.management, "GET", "/control/ready") == 200; });
+    assert(Fleet::call(next.management, "POST", server_call(Fleet::name(first), "online")) == 200);
+    assert(Fleet::call(next.management, "POST", server_call(Fleet::name(last), "offline")) == 200);
+    // Both processes serve: each has to have looked by now.
+    wait_for([&] { return heard_of_forty(fleet, last, "w") == 0; });
+    for (int k = 0; k < 5; ++k) assert(heard_of_forty(fleet, last, "x" + std::to_string(k) + "-") == 0);
+    assert(heard_of_forty(fleet, first, "y") > 0);
+    fleet.signal(SIGKILL);
+    assert(fleet.exit_code() == 128 + SIGKILL);
+    assert(heard_of_forty(fleet, last, "z") == 0);
+    assert(Fleet::call(next.management, "POST", server_call(Fleet::name(last), "online")) == 200);
+    wait_for([&] { return heard_of_forty(fleet, last, "v") > 0; });
+}
+
 }  // namespace
 
 int main() {
@@ -120,4 +224,6 @@
     who_finishes_no_call_holds_up_nobody();
     a_new_process_takes_the_place_of_the_old_one();
     a_second_process_that_fails_leaves_the_first();
+    a_cache_out_by_hand_gets_nothing_whatever_the_list_says();
+    a_ban_holds_for_all_processes_of_the_node();
 }
