A reload lacking a key of the running file is refused whole; open work keeps its forwards

Seen: a file without a key was filled in with defaults, a reload with most_forwards 0 or a latency objective under 0 was taken, and open invocations went by the new number of forwards. Change: src/config remembers the keys that each object gives (lists: those that all entries have, of operations also those of one effect) and a reload that lacks one is refused with its name; doubled keys and names, figures that must be positive; the module's invocations hold the whole deployment they came with. Tests: a table of files, one cut at each length, the module with fewer forwards under an open invocation.

--- a/src/config/deployment.cpp
+++ b/src/config/deployment.cpp
@@ -20,10 +20,18 @@
 constexpr Words<Standing, 3> kStandings{
     {{"SERVING", Standing::ready}, {"DRAINING", Standing::draining}, {"DELETED", Standing::gone}}};
 
+// By a name that stands twice nobody can tell which of the two is meant.
+void each_once(std::vector<std::string> names, const char* list) {
+    std::sort(names.begin(), names.end());
+    const auto twice = std::adjacent_find(names.begin(), names.end());
+    if (twice != names.end()) throw BadInput(std::string("field '") + list + "' names '" + *twice + "' twice");
+}
+
 std::vector<std::string> texts(const Value& settings, const char* name) {
     std::vector<std::string> all;
     if (find(settings, name) == nullptr) return all;
     for (const Value& v : need_list(settings, name).GetArray()) all.emplace_back(text(v, name));
+    each_once(all, name);
     return all;
 }
 
@@ -32,6 +40,7 @@
     if (find(settings, list) == nullptr) return all;
     for (const Value& v : need_list(settings, list).GetArray())
         all.emplace_back(text(need(v, "name"), "name"));
+    each_once(all, list);
     return all;
 }
 
@@ -71,6 +80,7 @@
         d.may_probe = flag(*allowed, "may_probe");
         d.may_tell_peers = flag(*allowed, "peers");
         d.most_forwards = small(*allowed, "most_forwards", 1);
+        if (d.most_forwards < 1) throw BadInput("field 'most_forwards' is not a positive number");
         d.connect_timeout = duration(*allowed, "connect_timeout_us");
         d.connection_idle = duration(*allowed, "conn_idle_us");
         if (flag(*allowed, "retry_after")) d.longest_retry_advice = duration(*allowed, "max_retry_after_us");
@@ -88,8 +98,9 @@
         if (const Value* group = find(o, "group")) op.scope = word(*group, "group", kScopes);
         op.dedup_window = duration(o, "key_ttl_us");
         op.client_timeout = duration(o, "client_timeout_us");
-        if (op.client_timeout <= 0) throw BadInput("field 'client_timeout_us' is missing or 0");
+        if (op.client_timeout <= 0) throw BadInput("field 'client_timeout_us' is missing or not a positive number");
         op.latency_objective = seconds(o, "latency_objective_us", op.client_timeout);
+        if (op.latency_objective <= 0) throw BadInput("field 'latency_objective_us' is not a positive number");
         op.billed_value = number(o, "billed_value", 1);
         op.tardy_part = number(o, "tardy_billed_value", 0);
         op.streamed = flag(o, "streamed");
--- a/src/config/station.cpp
+++ b/src/config/station.cpp
@@ -61,6 +61,46 @@
     return seed;
 }
 
+// A list of servers is news, and says as much of each as there is to say.
+constexpr std::string_view kNews = "known.hosts";
+
+void give_keys(const Value& value, const std::string& path, GivenKeys& given) {
+    if (path == kNews) return;
+    if (value.IsArray()) {
+        for (const Value& entry : value.GetArray()) {
+            if (!entry.IsObject()) continue;
+            give_keys(entry, path + "[]", given);
+            const auto effect = entry.FindMember("repeat");
+            if (effect == entry.MemberEnd() || !effect->value.IsString()) continue;
+            give_keys(entry, path + "[" + effect->value.GetString() + "]", given);
+        }
+        return;
+    }
+    if (!value.IsObject()) return;
+    std::set<std::string> keys;
+    for (const auto& member : value.GetObject()) {
+        const std::string key(member.name.GetString(), member.name.GetStringLength());
+        // Which of the two would count is chance.
+        if (!keys.insert(key).second) throw BadInput("key '" + key + "' stands twice");
+        if (member.value.IsNull()) keys.erase(key);
+        give_keys(member.value, path.empty() ? key : path + "." + key, given);
+    }
+    const auto [at, first] = given.try_emplace(path, keys);
+    if (!first) std::erase_if(at->second, [&keys](const std::string& key) { return !keys.contains(key); });
+}
+
+// The first key that the one gives and the other lacks; empty: none.
+std::string key_lacking(const GivenKeys& running, const GivenKeys& wanted) {
+    for (const auto& [path, keys] : running) {
+        const auto there = wanted.find(path);
+        if (there == wanted.end()) continue;  // the key that leads there is lacking, or no entry is of that effect
+        for (const std::string& key : keys) {
+            if (!there->second.contains(key)) return path.empty() ? key : path + "." + key;
+        }
+    }
+    return {};
+}
+
 }  // namespace
 
 ServerList read_server_list(const Value& value, const Names& names) {
@@ -86,6 +126,8 @@
         const auto kind = static_cast<std::size_t>(std::max(0, s.deployment.origin_kind));
         return s.deployment.origin_kind >= 0 && kind < s.names.kinds.size() ? s.names.kinds[kind] : std::string();
     };
+    const std::string lacking = key_lacking(running.given, wanted.given);
+    if (!lacking.empty()) return "key '" + lacking + "' is missing, which the running configuration has";
     const char* field = nullptr;
     if (wanted.listen != running.listen) field = "'listen'";
     if (wanted.management != running.management) field = "'management'";
@@ -110,6 +152,7 @@
     }
     if (!root.IsObject()) throw BadInput("the configuration is not an object");
     Station s;
+    give_keys(root, {}, s.given);
     s.name = text(need(root, "name"), "name");
     s.listen = read_address(root, "listen");
     s.discovery = read_address(root, "discovery");
--- a/src/config/station.h
+++ b/src/config/station.h
@@ -5,6 +5,8 @@
 #include <rapidjson/document.h>
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +34,10 @@
     std::vector<std::string> complaints;  // one for each entry that made no sense and was left out
 };
 
+// The keys that a file gives, by the path to each object. Entries of a list may come and go, so of a list it is
+// the keys that all have, and of operations also those that all of one effect have.
+using GivenKeys = std::map<std::string, std::set<std::string>>;
+
 struct Station {
     std::string name;
     std::string listen;
@@ -45,6 +51,7 @@
     Deployment deployment;
     Names names;
     ServerList known;
+    GivenKeys given;
 };
 
 ServerList read_server_list(const rapidjson::Value& list, const Names& names);
--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -220,7 +220,7 @@
 struct Invocation {
     bool open = false;
     Arrival what;
-    std::shared_ptr<const std::vector<Operation>> rows;  // the operations as they were when it came
+    std::shared_ptr<const Deployment> rules;  // as they were when it came
 
     double due = 0;      // when its client stops waiting
     double in_time = 0;  // until when an answer meets the objective
@@ -322,7 +322,7 @@
         Invocation& v = invs_[static_cast<std::size_t>(a.inv)];
         v.open = true;
         v.what = a;
-        v.rows = rows_;
+        v.rules = rules_;
         if (!a.has_key) v.what.key = (static_cast<std::uint64_t>(chance_()) << 24) ^ chance_();
         const Operation& op = operation(v);
         v.due = now + a.time_left;
@@ -419,7 +419,7 @@
     };
     void settle_in(const Deployment& deployment) {
         deployment_ = deployment;
-        rows_ = std::make_shared<const std::vector<Operation>>(deployment.operations);
+        rules_ = std::make_shared<const Deployment>(deployment);
         rings_.assign(static_cast<std::size_t>(std::max(1, deployment.zones)) + 1, {});
         members_.assign(rings_.size(), 0);
         outs_.assign(rings_.size(), 0);
@@ -432,7 +432,7 @@
             origin_target_ = std::min(origin_target_, kOriginPart * op.latency_objective);
     }
     const Operation& operation(const Invocation& v) const {
-        return (*v.rows)[static_cast<std::size_t>(v.what.operation)];
+        return v.rules->operations[static_cast<std::size_t>(v.what.operation)];
     }
     double draw() { return static_cast<double>(chance_()) / 16777216.0; }
     static std::uint64_t token(Timer kind, std::uint32_t turn, int inv) {
@@ -604,7 +604,7 @@
         const Operation& op = operation(v);
         const Cache& to = caches_[static_cast<std::size_t>(cache)];
         if (to.standing != Standing::ready) return false;
-        if (static_cast<int>(v.forwards.size()) >= deployment_.most_forwards) return false;
+        if (static_cast<int>(v.forwards.size()) >= v.rules->most_forwards) return false;
         if (v.out > 0 && !deployment_.may_duplicate) return false;
         if (op.repeat == Repeat::idempotent) return true;
         for (const Forward& f : v.forwards) {
@@ -1051,7 +1051,7 @@
         }
     }
     Deployment deployment_;
-    std::shared_ptr<const std::vector<Operation>> rows_;
+    std::shared_ptr<const Deployment> rules_;
     Host& host_;
     std::ranlux24_base chance_;
     std::vector<Cache> caches_;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -82,6 +82,19 @@
                           Case{"\"az\":1", "\"az\":2", "az"},
                           Case{"\"az\":1", "\"az\":-1", "az"},
                           Case{"client_timeout_us", "timeout_us", "client_timeout_us"},
+                          Case{"1200000", "0", "client_timeout_us"},
+                          Case{"1200000", "-5", "client_timeout_us"},
+                          Case{"1200000", "\"1200000\"", "client_timeout_us"},
+                          Case{"1200000}", "1200000,\"latency_objective_us\":0}", "latency_objective_us"},
+                          Case{"1200000}", "1200000,\"latency_objective_us\":-1}", "latency_objective_us"},
+                          Case{"\"max_open\"", "\"most_forwards\":0,\"max_open\"", "most_forwards"},
+                          Case{"\"max_open\"", "\"most_forwards\":-2,\"max_open\"", "most_forwards"},
+                          Case{"\"max_open\"", "\"most_forwards\":2.5,\"max_open\"", "most_forwards"},
+                          Case{"\"max_open\"", "\"most_forwards\":\"3\",\"max_open\"", "most_forwards"},
+                          Case{"\"max_open\"", "\"conn_idle_us\":1,\"max_open\"", "conn_idle_us"},
+                          Case{"[\"a\",\"b\"]", "[\"a\",\"a\"]", "localities"},
+                          Case{"[{\"name\":\"acme\"", "[{\"name\":\"acme\"},{\"name\":\"acme\"", "parties"},
+                          Case{"[{\"name\":\"read\"", "[{\"name\":\"read\",\"repeat\":\"idempotent\",\"client_timeout_us\":1},{\"name\":\"read\"", "operations"},
                           Case{"60000000", "-1", "conn_idle_us"},
                           Case{"127.0.0.1:1", "localhost:1", "listen"},
                           Case{"127.0.0.1:2", "127.0.0.1", "discovery"},
@@ -109,9 +122,56 @@
     assert(news.complaints.size() == 1 && news.complaints[0].find("dial") != std::string::npos);
 }
 
+// A reload may add keys and drop entries, not keys: what lacks one was cut short, or written by a wrong hand.
+void a_key_that_the_running_file_has_may_not_be_missing() {
+    const std::string running_text = with(R"({"name":"read","repeat":"idempotent","client_timeout_us":1200000})",
+                                          R"({"name":"read","repeat":"idempotent","client_timeout_us":1200000,"billed_value":1},
+  {"name":"put","repeat":"deduplicated","client_timeout_us":900000,"billed_value":2,"key_ttl_us":3000000})");
+    const Station running = read(running_text);
+    struct Case {
+        const char *from, *to, *key;  // the key that is complained of; empty: it is taken
+    };
+    for (const Case& c : {Case{"", "", ""},
+                          Case{"\"conn_idle_us\":60000000,", "", "settings.permissions.conn_idle_us"},
+                          Case{"\"conn_idle_us\":60000000", "\"conn_idle_us\":null", "settings.permissions.conn_idle_us"},
+                          Case{"\"permissions\":{\"conn_idle_us\":60000000,\"max_open\":20000},", "", "settings.permissions"},
+                          Case{"\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},", "", "limits"},
+                          Case{",\"billed_value\":1", "", "settings.operations[].billed_value"},
+                          Case{",\"key_ttl_us\":3000000", "", "settings.operations[deduplicated].key_ttl_us"},
+                          Case{"\"parties\":[{\"name\":\"acme\",\"quota_per_s\":67.0}],", "", "settings.parties"},
+                          Case{",\"quota_per_s\":67.0", "", "settings.parties[].quota_per_s"},
+                          Case{"{\"name\":\"read\",\"repeat\":\"idempotent\",\"client_timeout_us\":1200000,\"billed_value\":1},", "", ""},
+                          Case{"{\"name\":\"read\"", "{\"name\":\"bid\",\"repeat\":\"at_most_once\",\"client_timeout_us\":1,\"billed_value\":1},{\"name\":\"read\"", ""},
+                          Case{"{\"name\":\"read\"", "{\"name\":\"bid\",\"repeat\":\"at_most_once\",\"client_timeout_us\":1},{\"name\":\"read\"", "settings.operations[].billed_value"},
+                          Case{",\"born_ms\":1500", "", ""}}) {
+        std::string text = running_text;
+        if (*c.from != 0) {
+            const std::size_t at = text.find(c.from);
+            assert(at != std::string::npos);
+            text.replace(at, std::string(c.from).size(), c.to);
+        }
+        const std::string against = cannot_be_live(running, read(text));
+        assert(*c.key == 0 ? against.empty() : against.find("'" + std::string(c.key) + "'") != std::string::npos);
+    }
+}
+
+void a_file_cut_anywhere_is_refused() {
+    for (std::size_t length = 0; length < kGood.size(); ++length) {
+        bool refused = false;
+        try {
+            read(kGood.substr(0, length));
+        } catch (const BadInput&) {
+            refused = true;
+        }
+        assert(refused);
+    }
+}
+
 }  // namespace
 
 int main() {
+    a_key_that_the_running_file_has_may_not_be_missing();
+    a_file_cut_anywhere_is_refused();
     a_good_one();
     bad_ones_name_the_key();
     one_bad_entry_of_news_fails_alone();
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -292,13 +292,15 @@
     };
     for (ScriptedPeer& c : fleet.caches) c.plays([&](const std::string& m) { return holding(m, hit(m)); });
     fleet.origin.plays([&](const std::string& m) { return holding(m, Act{http("made")}); });
-    const std::string here = fleet.told_with("\"az\":0", "\"az\":0");
-    std::string there = fleet.told_with("[\"m\",\"origin\"]", "[\"origin\",\"new\",\"m\"]");
-    const auto put = [&there](const std::string& from, const std::string& to) {
-        const std::size_t at = there.find(from);
+    const auto put_in = [](std::string& text, const std::string& from, const std::string& to) {
+        const std::size_t at = text.find(from);
         assert(at != std::string::npos);
-        there.replace(at, from.size(), to);
+        text.replace(at, from.size(), to);
     };
+    // The way back names each key that it came by: one that lacks some is taken for a broken file.
+    std::string here = fleet.told_with("\"discovery\":\"pushed\"", "\"discovery\":\"pushed\",\"weights\":\"off\",\"parties\":[]");
+    std::string there = fleet.told_with("[\"m\",\"origin\"]", "[\"origin\",\"new\",\"m\"]");
+    const auto put = [&](const std::string& from, const std::string& to) { put_in(there, from, to); };
     put("\"origin_kind\":1", "\"origin_kind\":0");
     put("\"discovery\":\"pushed\"", "\"discovery\":\"pushed\",\"weights\":\"live\",\"parties\":[{\"name\":\"acme\",\"quota_per_s\":0}]");
     put("\"operations\":[", R"("operations":[{"name":"bid","repeat":"at_most_once","client_timeout_us":2000000},
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -178,9 +178,25 @@
     assert(nodes > 20 && nodes < 80);
 }
 
+// Fewer forwards from now on: what is open may still have as many as it came with, what comes later may not.
+void open_invocations_keep_the_forwards_they_came_with() {
+    Fleet fleet(4);
+    fleet.start();
+    const int early = fleet.arrive(1);
+    fleet.deployment.most_forwards = 1;
+    fleet.node->redeployed(fleet.now, fleet.deployment);
+    fleet.tell(ListKind::whole);
+    const int late = fleet.arrive(2);
+    fleet.end(early, 0, Ending::refused);
+    assert(fleet.host.sent.size() == 3 && fleet.host.sent.back().inv == early && fleet.finals(early) == 0);
+    fleet.end(late, 0, Ending::refused);
+    assert(fleet.host.sent.size() == 3 && fleet.finals(late) == 1);
+}
+
 }  // namespace
 
 int main() {
+    open_invocations_keep_the_forwards_they_came_with();
     rule_2_by_outcome_and_operation();
     a_repeat_stays_in_its_group_and_window();
     one_final_answer_whatever_comes_after();
