--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -266,6 +266,32 @@
         lean_ = leant_ = 0;
         zone_step_ = kZoneStep;
     }
+    Learned learned(double now) const override {
+        Learned l{reach_, pressure_, admitted_, origin_gate_.limit, origin_pace_, {}, {}};
+        for (const Kind& k : kinds_) l.kind_shares.push_back(k.share);
+        for (std::size_t i = 0; i < caches_.size(); ++i) {
+            const Cache& c = caches_[i];
+            if (c.standing != Standing::ready || c.origin) continue;
+            l.caches.push_back({static_cast<int>(i), c.gate.limit, c.gate.pause_until - now, c.suspect});
+        }
+        return l;
+    }
+    // At a start without it, time-outs teach which caches are slow, and meanwhile clients wait in all places.
+    void recall(double now, const Learned& l) override {
+        reach_ = std::clamp(l.reach, 0.0, 1.0);
+        pressure_ = std::clamp(l.pressure, 0.0, 1.0);
+        admitted_ = std::clamp(l.admitted, kAdmitLeast, 1.0);
+        origin_gate_.limit = std::clamp(l.origin_limit, kLimitLeast, kLimitMost);
+        origin_pace_ = std::max(l.origin_pace, 0.0);
+        for (std::size_t k = 0; k < std::min(kinds_.size(), l.kind_shares.size()); ++k)
+            kinds_[k].share = std::clamp(l.kind_shares[k], kKindLeast, 1.0);
+        for (const Learned::OfCache& of : l.caches) {
+            Cache& c = caches_[static_cast<std::size_t>(of.cache)];
+            c.gate.limit = std::clamp(of.limit, kLimitLeast, kLimitMost);
+            c.gate.pause_until = now + std::min(of.rest, kCachePauseMost);
+            if (of.suspect) suspect(c, now);
+        }
+    }
     void listed(double, ListKind kind, const std::vector<Listing>& entries) override {
         ++list_turn_;
         for (const Listing& e : entries) {
--- a/src/decision/balancer.h
+++ b/src/decision/balancer.h
@@ -85,6 +85,19 @@
     double time_left = 0;
 };
 
+// What a node finds out only by forwards that come to nothing, for the process that takes its place.
+struct Learned {
+    struct OfCache {
+        int cache = 0;
+        double limit = 0;  // forwards trusted to it at a time
+        double rest = 0;   // s without any
+        bool suspect = false;
+    };
+    double reach = 0, pressure = 0, admitted = 1, origin_limit = 0, origin_pace = 0;
+    std::vector<double> kind_shares;
+    std::vector<OfCache> caches;
+};
+
 // What the module may do. The host carries calls out in their order; what comes of them is told later.
 class Host {
   public:
@@ -117,6 +130,9 @@
     // What is open ends by the operation that it came with. Right after it the whole list is told again, since
     // zones and kinds may be numbered anew.
     virtual void redeployed(double now, const Deployment& deployment) = 0;
+    // What it has learned so far; and what another one had, of caches that have been listed here by now.
+    virtual Learned learned(double now) const = 0;
+    virtual void recall(double now, const Learned& learned) = 0;
 };
 
 std::unique_ptr<Balancer> make_balancer(const Deployment& deployment, std::uint64_t seed, Host& host);
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -1,10 +1,17 @@
 #include "node.h"
 
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
 #include "json.h"
+#include "learned.h"
 #include "registration.h"
 
 namespace brookrelay {
@@ -31,6 +38,9 @@
 
 constexpr double kLookByHand = 0.025;  // s between looks for what another process of this node was told
 
+constexpr double kLeaveLearned = 0.25;  // s between the times that it is written down
+constexpr double kLearnedKept = 3.0;    // older than that it says little of how the caches are now
+
 constexpr std::size_t kBytesPart = 4;  // of the memory: what each side's buffers may hold together
 
 std::size_t bytes(int memory_mb) { return static_cast<std::size_t>(memory_mb) * 1'000'000 / kBytesPart; }
@@ -106,7 +116,10 @@
         return false;
     }
     by_hand_.look(wall_less_monotonic_ + monotonic());
-    inbox_.emplace_back([this](double now) { listed(now, ListKind::disk, station_.known); });
+    inbox_.emplace_back([this](double now) {
+        listed(now, ListKind::disk, station_.known);
+        recall_learned(now);
+    });
     turn();
     if (registry_ != nullptr) {
         registry_->start();
@@ -115,6 +128,7 @@
     }
     clients_.listen(std::move(listener));
     timers_.at(monotonic(), [this] { look_by_hand(); });
+    if (shared_ && !station_.scratch.empty()) timers_.at(monotonic() + kLeaveLearned, [this] { leave_learned(); });
     takes_clients_ = true;
     return true;
 }
@@ -546,6 +560,40 @@
     timers_.at(monotonic() + kLookByHand, [this] { look_by_hand(); });
 }
 
+// For the process that will take this one's place, which has no time to learn it anew.
+void Node::leave_learned() {
+    if (!takes_clients_) return;
+    const std::string path = own_folder(station_) + "/learned";
+    const std::string being_written = path + "-" + std::to_string(getpid());
+    {
+        std::ofstream file(being_written, std::ios::trunc);
+        file << learned_text(balancer_->learned(monotonic()), station_.names.kinds,
+                             [this](int cache) { return server(cache).name; });
+        if (!file.flush()) std::remove(being_written.c_str());
+    }
+    std::rename(being_written.c_str(), path.c_str());  // whole, or not at all
+    timers_.at(monotonic() + kLeaveLearned, [this] { leave_learned(); });
+}
+
+void Node::recall_learned(double now) {
+    if (!shared_ || station_.scratch.empty()) return;
+    const std::string path = own_folder(station_) + "/learned";
+    struct stat told {};
+    if (stat(path.c_str(), &told) != 0) return;
+    const double age = wall_less_monotonic_ + now - static_cast<double>(told.st_mtim.tv_sec);
+    if (age > kLearnedKept) return;
+    std::ifstream file(path);
+    const std::string said{std::istreambuf_iterator<char>(file), {}};
+    const auto learned = read_learned(said, station_.names.kinds, [this](const std::string& name) {
+        const auto known = cache_index_.find(name);
+        return known == cache_index_.end() ? -1 : known->second;
+    });
+    if (!learned) return;
+    balancer_->recall(now, *learned);
+    log_.line(Topic::node, "recalled", "goes on with what another process had learned of " +
+                                           std::to_string(learned->caches.size()) + " cache servers");
+}
+
 // ---- winding down ------------------------------------------------------------------------------------
 
 void Node::wind_down() {
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -90,6 +90,8 @@
     bool takes_new(int cache) const;
     void merge_by_hand(double now, const std::vector<std::string>& names);
     void look_by_hand();
+    void leave_learned();
+    void recall_learned(double now);
 
     Station station_;
     Log& log_;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "json.h"
+#include "learned.h"
 #include "station.h"
 
 using namespace brookrelay;
@@ -167,9 +168,23 @@
     }
 }
 
+void what_was_learned_goes_by_name() {
+    const Learned learned{0.25, 0.5, 0.75, 3, 0.125, {1, 0.5}, {{0, 2.5, -4, false}, {1, 1, 0.5, true}}};
+    const std::string text = learned_text(learned, {"m1", "m2"}, [](int cache) { return cache == 0 ? "s-1" : "s-2"; });
+    const auto number = [](const std::string& name) { return name == "s-2" ? 7 : -1; };
+    const auto back = read_learned(text, {"m2", "new"}, number);
+    assert(back && back->reach == 0.25 && back->pressure == 0.5 && back->admitted == 0.75 && back->origin_limit == 3);
+    assert(back->origin_pace == 0.125 && back->kind_shares == std::vector<double>({0.5, 1}));
+    assert(back->caches.size() == 1 && back->caches[0].cache == 7 && back->caches[0].limit == 1);
+    assert(back->caches[0].rest == 0.5 && back->caches[0].suspect);
+    for (std::size_t length = 0; length < text.size(); ++length) assert(!read_learned(text.substr(0, length), {"m2"}, number));
+    assert(!read_learned("[]", {}, number) && !read_learned(R"({"reach":"far"})", {}, number));
+}
+
 }  // namespace
 
 int main() {
+    what_was_learned_goes_by_name();
     a_key_that_the_running_file_has_may_not_be_missing();
     a_file_cut_anywhere_is_refused();
     a_good_one();
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -335,9 +335,45 @@
     assert(fleet.host.watches == 2);
 }
 
+// A process that takes another's place knows a silent cache and a slow one at once; figures out of all bounds are bounded.
+void what_another_process_learned_holds_from_the_first_invocation() {
+    Fleet old(4);
+    old.start();
+    const std::uint64_t key = 5;
+    const int silent = old.owner(key);
+    old.now += 1;
+    const int first = old.arrive(key);
+    for (int k = 1; k < 3; ++k) old.arrive(key);
+    old.now += 1.2;
+    for (int k = 0; k < 3; ++k) old.end(first + k, 0, Ending::timed_out, 1.2, true);
+    const Learned learned = old.node->learned(old.now);
+    assert(learned.caches.size() == 4);
+    int suspects = 0;
+    for (const Learned::OfCache& c : learned.caches) {
+        suspects += c.suspect;
+        assert(c.suspect == (c.cache == silent));
+    }
+    assert(suspects == 1);
+    Fleet fresh(4);
+    fresh.start();
+    assert(fresh.owner(key) == silent);
+    Fleet next(4);
+    next.start();
+    next.node->recall(next.now, learned);
+    assert(next.owner(key) > 0 && next.owner(key) != silent);
+    Learned wild{7, -3, 0, 1e9, -1, {50, -50}, {{silent, -9, 1e9, false}}};
+    Fleet bounded(4);
+    bounded.start();
+    bounded.node->recall(bounded.now, wild);
+    const Learned kept = bounded.node->learned(bounded.now);
+    assert(kept.reach == 1 && kept.pressure == 0 && kept.admitted > 0 && kept.origin_limit < 100 && kept.origin_pace == 0);
+    for (const Learned::OfCache& c : kept.caches) assert(c.limit >= 1 && c.rest < 10);
+}
+
 }  // namespace
 
 int main() {
+    what_another_process_learned_holds_from_the_first_invocation();
     reads_are_turned_away_while_the_list_shows_all_crowded();
     reads_are_turned_away_while_forwards_come_too_late();
     new_settings_leave_open_invocations_and_caches_as_they_are();
