--- a/src/kit/scripted_peer.cpp
+++ b/src/kit/scripted_peer.cpp
@@ -145,6 +145,8 @@
         }
         const Act act = script(text);
         if (!act.text.empty()) line.send(act.text);
+        if (act.wait) act.wait();
+        if (!act.rest.empty()) line.send(act.rest);
         if (act.close) break;
     }
     line.shut();
--- a/src/kit/scripted_peer.h
+++ b/src/kit/scripted_peer.h
@@ -38,10 +38,12 @@
     std::string in_;
 };
 
-// What a peer does with one message: sends a text, if there is one, and may then close.
+// What a peer does with one message: sends a text, if there is one, may wait and send the rest, and may then close.
 struct Act {
     std::string text;
     bool close = false;
+    std::function<void()> wait = {};
+    std::string rest = {};
 };
 
 class ScriptedPeer {
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -6,7 +6,9 @@
 namespace brookrelay {
 namespace {
 
-constexpr std::size_t kInMost = kValueMost + 2 * kLineMost;
+constexpr std::size_t kInMost = kWholeMost + 2 * kLineMost;
+constexpr std::size_t kWindow = 64 * 1024;  // of a long value, written and not taken yet
+constexpr std::size_t kReservedPart = 2;    // of the clients' bytes: for long values that they write
 constexpr std::size_t kPipelined = 32;
 constexpr double kAheadPart = 0.25;  // of the connections: commands held at once before each has just one
 constexpr int kAcceptsATurn = 64;
@@ -14,7 +16,8 @@
 constexpr double kFirstBytes = 0.5;  // s in which a new client has not yet had the time to write
 // Descriptors are few, and a client that says nothing or stops halfway keeps one for nothing. Time runs from
 // the last byte: whoever is slow but goes on is served.
-constexpr double kSilent = 2.0;  // s that a new client may say nothing, and any may stop within a command
+constexpr double kSilent = 2.5;  // s that a new client may say nothing, and any may stop within a command
+constexpr double kSilentLong = 10.0;  // and within a long value
 constexpr double kIdle = 30.0;   // s between two commands
 // Clients may hold only so many connections. Those who ask once and stay would hold them all, and nobody
 // could ask any more: the longest idle go beyond a part of the places, unless the next command may already be
@@ -28,13 +31,16 @@
 
 }  // namespace
 
-Clients::Clients(Timers& timers, Log& log, std::size_t most, std::size_t bytes, Asked asked, Left left)
+Clients::Clients(Timers& timers, Log& log, std::size_t most, std::size_t bytes, Asked asked, Left left,
+                 Relayed relayed)
     : timers_(timers),
       log_(log),
       most_(most),
       budget_{bytes},
       asked_(std::move(asked)),
-      left_(std::move(left)) {
+      left_(std::move(left)),
+      relayed_(std::move(relayed)),
+      reserved_most_(bytes / kReservedPart) {
     age();
 }
 
@@ -120,7 +126,9 @@
     if (what == Stream::News::ended) return drop(id, c);
     if (what == Stream::News::input) c.used = monotonic();
     read_commands(id, c);
-    if (budget_.over() && c.stream->input().size() > kLineMost) return turn_away(id, c, kNoMemory);
+    if (what == Stream::News::drained && !c.pending.empty() && c.pending.front().relay != 0)
+        relayed_.room(c.pending.front().relay);
+    if (budget_.over() && c.reserved == 0 && c.stream->input().size() > kLineMost) return turn_away(id, c, kNoMemory);
     close_if_done(id, c);
 }
 
@@ -132,10 +140,13 @@
     while (!c.last && may_hold_another(c)) {
         Command command;
         const std::size_t taken = read_command(c.stream->input(), command);
+        if (taken == 0 && !may_go_on_reading(c)) c.used = monotonic();
         if (taken == 0) break;
         c.stream->take(taken);
         last_command_ = monotonic();
         Pending& p = c.pending.emplace_back();
+        if (c.reserved > 0) c.stream->hold_at_most(kInMost);
+        p.reserved = std::exchange(c.reserved, 0);
         ++held_;
         if (command.kind == Command::Kind::hello) {
             say(p, "MN\r\n");
@@ -153,6 +164,19 @@
     }
 }
 
+// Long values are read by a few at a time, each with room for all of its own: the others are not read from, and
+// nobody is cut off half-way for those.
+bool Clients::may_go_on_reading(Client& c) {
+    if (c.reserved > 0) return true;
+    const std::size_t length = long_write(c.stream->input());
+    c.waits = length > 0 && reserved_ > 0 && reserved_ + length > reserved_most_;
+    if (length == 0 || c.waits) return !c.waits;
+    c.reserved = length;
+    reserved_ += length;
+    c.stream->hold_at_most(length + 2 * kLineMost);
+    return true;
+}
+
 // A command may hold a value of the greatest size, and its answer another: all clients together may not
 // pipeline more than fits. Each may always have one.
 bool Clients::may_hold_another(const Client& c) const {
@@ -163,7 +187,8 @@
 
 void Clients::say(Pending& p, std::string text) {
     budget_.used += text.size();
-    p = {true, std::move(text)};
+    p.ready = true;
+    p.text = std::move(text);
 }
 
 // One error line behind what is still owed, and no more is read.
@@ -180,6 +205,7 @@
 void Clients::age() {
     const double now = monotonic();
     for (auto& [id, c] : clients_) {
+        if (!c.stream->closed() && c.waits) read_commands(id, c);
         if (!c.stream->closed()) age(id, c, now);
         if (winding_down_ && !c.stream->closed()) close_if_done(id, c);
     }
@@ -207,7 +233,7 @@
     }
     if (c.untaken > 0) {
         if (now - c.untaken_since >= kUntaken) drop(id, c);
-    } else if (c.last || now - c.used < kSilent || !may_hold_another(c)) {
+    } else if (c.last || now - c.used < (c.reserved > 0 ? kSilentLong : kSilent) || !may_hold_another(c)) {
         return;  // it is being closed, has just been heard, or is not read from
     } else if (!c.stream->input().empty()) {
         turn_away(id, c, "CLIENT_ERROR incomplete command");
@@ -221,7 +247,7 @@
     if (at == clients_.end() || at->second.stream->closed()) return;
     Client& c = at->second;
     const std::uint64_t place = asker.command - c.first;
-    if (place >= c.pending.size() || c.pending[place].ready) return;
+    if (place >= c.pending.size() || c.pending[place].ready || c.pending[place].relay != 0) return;
     // Clients that take their answers slowly may not hold more of them than there is memory.
     const bool too_much = budget_.over() && text.size() > kLineMost;
     if (too_much) log_.line(Topic::client, "answer_dropped", "an answer is not passed on: no memory");
@@ -231,9 +257,61 @@
     close_if_done(asker.connection, c);
 }
 
+Clients::Client* Clients::whose(const Asker& asker) {
+    const auto at = clients_.find(asker.connection);
+    if (at == clients_.end() || at->second.stream->closed()) return nullptr;
+    return asker.command - at->second.first < at->second.pending.size() ? &at->second : nullptr;
+}
+
+void Clients::begin_long(const Asker& asker, std::string head, std::uint64_t relay) {
+    Client* c = whose(asker);
+    if (c == nullptr) return relayed_.left(relay);
+    Pending& p = c->pending[asker.command - c->first];
+    budget_.used += head.size();
+    p.text = std::move(head);
+    p.relay = relay;
+    write_answers(*c);
+}
+
+// Answers go in the order of the commands: what stands behind another waits at its server.
+std::size_t Clients::room(const Asker& asker) const {
+    const auto at = clients_.find(asker.connection);
+    if (at == clients_.end() || at->second.stream->closed() || asker.command != at->second.first) return 0;
+    const std::size_t unwritten = at->second.stream->unwritten();
+    return unwritten < kWindow ? kWindow - unwritten : 0;
+}
+
+void Clients::piece(const Asker& asker, std::string_view bytes) {
+    Client* c = whose(asker);
+    if (c == nullptr) return;
+    c->used = monotonic();
+    c->stream->write(bytes);
+}
+
+void Clients::end_long(const Asker& asker, bool whole, std::string_view line) {
+    Client* c = whose(asker);
+    if (c == nullptr) return;
+    Pending& p = c->pending[asker.command - c->first];
+    p.relay = 0;
+    budget_.used -= p.text.size();
+    p.text.clear();
+    if (!whole && p.begun) {
+        log_.line(Topic::client, "value_broken_off", "closed: the rest of a value that was begun is not to be had");
+        // What was answered before it still goes out; then the end comes too early, by which the client can tell.
+        p.ready = true;
+        c->last = true;
+        forget_pending(asker.connection, *c);
+        return close_if_done(asker.connection, *c);
+    }
+    say(p, whole ? "\r\n" : std::string(line));
+    write_answers(*c);
+    read_commands(asker.connection, *c);
+    close_if_done(asker.connection, *c);
+}
+
 void Clients::write_answers(Client& c) {
     std::string text;
-    while (!c.pending.empty() && c.pending.front().ready) {
+    while (!c.pending.empty() && (c.pending.front().ready || !c.pending.front().text.empty())) {
         std::string& said = c.pending.front().text;
         budget_.used -= said.size();
         if (text.empty()) {
@@ -241,6 +319,12 @@
         } else {
             text += said;
         }
+        if (!c.pending.front().ready) {  // a long one: the rest comes in pieces
+            said.clear();
+            c.pending.front().begun = true;
+            break;
+        }
+        reserved_ -= c.pending.front().reserved;
         c.pending.pop_front();
         ++c.first;
         --held_;
@@ -248,6 +332,7 @@
     if (text.empty()) return;
     c.used = monotonic();
     c.stream->write(text);
+    if (!c.pending.empty() && c.pending.front().relay != 0) relayed_.room(c.pending.front().relay);
 }
 
 void Clients::close_if_done(std::uint64_t id, Client& c) {
@@ -293,12 +378,24 @@
     timers_.call_off(c.linger);
     c.stream->close();
     --live_;
-    held_ -= c.pending.size();
     dropped_.push_back(id);
+    forget_pending(id, c);
+}
+
+void Clients::forget_pending(std::uint64_t id, Client& c) {
+    held_ -= c.pending.size();
+    reserved_ -= std::exchange(c.reserved, 0);
     for (std::size_t i = 0; i < c.pending.size(); ++i) {
         budget_.used -= c.pending[i].text.size();
-        if (!c.pending[i].ready) left_({id, c.first + i});
+        reserved_ -= c.pending[i].reserved;
+        if (c.pending[i].relay != 0) {
+            relayed_.left(c.pending[i].relay);
+        } else if (!c.pending[i].ready) {
+            left_({id, c.first + i});
+        }
     }
+    c.first += c.pending.size();
+    c.pending.clear();
 }
 
 void Clients::sweep() {
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "log.h"
@@ -28,8 +29,14 @@
     };
     using Asked = std::function<void(Asker, Command&&)>;
     using Left = std::function<void(Asker)>;  // one call for each command without its answer
+    // For long values: there is room for more of it, or nobody wants the rest any more.
+    struct Relayed {
+        std::function<void(std::uint64_t relay)> room;
+        std::function<void(std::uint64_t relay)> left;
+    };
 
-    Clients(Timers& timers, Log& log, std::size_t most, std::size_t bytes, Asked asked, Left left);
+    Clients(Timers& timers, Log& log, std::size_t most, std::size_t bytes, Asked asked, Left left,
+            Relayed relayed);
     ~Clients();
     Clients(const Clients&) = delete;
     Clients& operator=(const Clients&) = delete;
@@ -37,6 +44,12 @@
     void listen(SocketRef listener);
     void stop_accepting();  // the listener may be another process's too, which goes on
     void answer(const Asker& asker, std::string text);
+    // An answer in pieces, which follow while there is room. Not whole at its end, the client is let go, unless
+    // nothing of it has been written: then it gets the line instead.
+    void begin_long(const Asker& asker, std::string head, std::uint64_t relay);
+    std::size_t room(const Asker& asker) const;
+    void piece(const Asker& asker, std::string_view bytes);
+    void end_long(const Asker& asker, bool whole, std::string_view line);
     // From now on each connection is closed once it has nothing to be answered.
     void wind_down();
     bool none() const { return live_ == 0; }
@@ -47,6 +60,9 @@
     struct Pending {
         bool ready = false;
         std::string text;
+        std::uint64_t relay = 0;   // the rest of it comes in pieces
+        bool begun = false;        // and some of it is written
+        std::size_t reserved = 0;  // for the value that the command brought
     };
     struct Client {
         std::unique_ptr<Stream> stream;
@@ -58,6 +74,8 @@
         bool last = false;       // nothing more is read from it
         bool finishing = false;  // all is answered, and the client has been told that it was the last
         Timers::Handle linger;
+        std::size_t reserved = 0;  // for the long value that is being read
+        bool waits = false;        // for such a place
     };
 
     bool may_hold_another(const Client& c) const;
@@ -67,6 +85,8 @@
     bool make_room();
     void news(std::uint64_t id, Client& c, Stream::News what);
     void read_commands(std::uint64_t id, Client& c);
+    bool may_go_on_reading(Client& c);
+    Client* whose(const Asker& asker);
     void say(Pending& p, std::string text);
     void write_answers(Client& c);
     void turn_away(std::uint64_t id, Client& c, const char* line);
@@ -75,6 +95,7 @@
     void age(std::uint64_t id, Client& c, double now);
     void close_if_done(std::uint64_t id, Client& c);
     void linger(std::uint64_t id, Client& c);
+    void forget_pending(std::uint64_t id, Client& c);
     void drop(std::uint64_t id, Client& c);
 
     Timers& timers_;
@@ -83,6 +104,9 @@
     ByteBudget budget_;
     Asked asked_;
     Left left_;
+    Relayed relayed_;
+    const std::size_t reserved_most_;
+    std::size_t reserved_ = 0;  // bytes of long values that clients write
     SocketRef listener_;
     GSource* accepting_ = nullptr;
     Timers::Handle accept_again_;
--- a/src/net/http1.cpp
+++ b/src/net/http1.cpp
@@ -151,8 +151,9 @@
     return end + 4;
 }
 
-std::size_t read_response(std::string_view in, std::size_t body_most, HttpResponse& r) {
+std::size_t read_response_head(std::string_view in, std::size_t body_most, HttpResponse& r, std::size_t& length) {
     std::size_t start = 0;
+    length = 0;
     while (true) {
         r = {};
         const std::size_t end = in.find("\r\n\r\n", start);
@@ -171,21 +172,27 @@
     }
     if (r.status == 204 || r.status == 304) {
         r.sound = true;
-        return start;
-    }
-    if (has(r, "transfer-encoding")) {
+    } else if (has(r, "transfer-encoding")) {
         // With a length beside it, or in a coding not known here, nobody can tell where the body ends.
-        if (has(r, "content-length") || lowered(r.header("transfer-encoding")) != "chunked") return in.size();
+        r.sound = !has(r, "content-length") && lowered(r.header("transfer-encoding")) == "chunked";
+    } else {
+        r.sound = read_digits(r.header("content-length"), length) && length <= body_most;
+    }
+    return r.sound ? start : in.size();
+}
+
+std::size_t read_response(std::string_view in, std::size_t body_most, HttpResponse& r) {
+    std::size_t length = 0;
+    std::size_t start = read_response_head(in, body_most, r, length);
+    if (start == 0 || !r.sound) return start;
+    if (has(r, "transfer-encoding") && r.status != 204 && r.status != 304) {
         const Found found = read_chunks(in, start, body_most, r.body);
         if (found == Found::more) return 0;
         r.sound = found == Found::whole;
         return r.sound ? start : in.size();
     }
-    std::size_t length = 0;
-    if (!read_digits(r.header("content-length"), length) || length > body_most) return in.size();
     if (in.size() - start < length) return 0;
     r.body = in.substr(start, length);
-    r.sound = true;
     return start + length;
 }
 
--- a/src/net/http1.h
+++ b/src/net/http1.h
@@ -34,6 +34,10 @@
 // How many bytes the first request's head takes; 0: it is not whole yet. What body may follow is not read.
 std::size_t read_request(std::string_view in, HttpRequest& out);
 
+// How many bytes the first final response's head takes, with those before it; 0: it is not whole yet. Sound if it
+// is one; `length` is its body's, where it gives one that is not over `body_most`.
+std::size_t read_response_head(std::string_view in, std::size_t body_most, HttpResponse& out, std::size_t& length);
+
 // How many bytes the first response takes; 0: it is not whole yet. Bodies over `body_most` are not sound.
 std::size_t read_response(std::string_view in, std::size_t body_most, HttpResponse& out);
 
--- a/src/net/memcache_text.cpp
+++ b/src/net/memcache_text.cpp
@@ -145,7 +145,7 @@
     const std::string_view verb = next_word(line);
     if (verb == "VA") {
         std::size_t length = 0;
-        if (!read_digits(next_word(line), length) || length > kAnswerMost) return taken;
+        if (!read_digits(next_word(line), length) || length > kWholeMost) return taken;
         if (in.size() < taken + length + kEnd.size()) return 0;
         if (in.substr(taken + length, kEnd.size()) != kEnd) return taken;
         r.kind = Reply::Kind::value;
@@ -175,6 +175,22 @@
     return taken;
 }
 
+LongValue long_reply(std::string_view in) {
+    std::size_t taken = 0, length = 0;
+    std::string_view line = first_line(in, taken);
+    if (taken == 0 || next_word(line) != "VA" || !read_digits(next_word(line), length)) return {};
+    if (length <= kWholeMost || length > kValueMost) return {};
+    return {taken, length, kEnd.size(), id_of(line), true};
+}
+
+std::size_t long_write(std::string_view in) {
+    std::size_t taken = 0, length = 0;
+    std::string_view line = first_line(in, taken);
+    if (taken == 0 || next_word(line) != "ms") return 0;
+    next_word(line);
+    return read_digits(next_word(line), length) && length > kWholeMost && length <= kValueMost ? length : 0;
+}
+
 std::string properties_text(const Properties& p, double time_left) {
     std::string text = p.text;
     const auto ms = std::max<long long>(1, std::llround(time_left * 1e3));
@@ -191,10 +207,12 @@
     return text;
 }
 
+std::string value_head(std::string_view id, std::size_t length) {
+    return "VA " + std::to_string(length) + " O" + std::string(id) + std::string(kEnd);
+}
+
 std::string value_text(std::string_view id, std::string_view value) {
-    std::string text = "VA ";
-    text.append(std::to_string(value.size())).append(" O");
-    return text.append(id).append(kEnd).append(value).append(kEnd);
+    return value_head(id, value.size()).append(value).append(kEnd);
 }
 
 std::string receipt_text(std::string_view id, std::string_view receipt) {
--- a/src/net/memcache_text.h
+++ b/src/net/memcache_text.h
@@ -9,8 +9,8 @@
 
 namespace brookrelay {
 
-constexpr std::size_t kValueMost = 64 * 1024;     // that a client may write
-constexpr std::size_t kAnswerMost = 1024 * 1024;  // that a server may hold: memcached's own bound
+constexpr std::size_t kValueMost = 4 * 1024 * 1024;  // that a client may write, and a server hold
+constexpr std::size_t kWholeMost = 64 * 1024;        // up to here a value is taken in whole before it goes on
 constexpr std::size_t kLineMost = 2048;
 
 // The list of names and values that a command carries. It goes on as it came but for the time.
@@ -38,6 +38,19 @@
     std::string id, body;
 };
 
+// The head of a value that is too long to be taken in whole.
+struct LongValue {
+    std::size_t head = 0;    // bytes in front of the value; 0: this is no such head
+    std::size_t length = 0;  // of the value
+    std::size_t behind = 0;  // bytes that belong behind it
+    std::string id;          // empty where the protocol gives none
+    bool reusable = true;    // the connection may carry another forward after it
+};
+
+LongValue long_reply(std::string_view in);
+// The length of the long value that the first command brings; 0: it brings none.
+std::size_t long_write(std::string_view in);
+
 // How many bytes the first message takes; 0: it is not whole yet.
 std::size_t read_command(std::string_view in, Command& out);
 std::size_t read_reply(std::string_view in, Reply& out);
@@ -47,6 +60,7 @@
 
 std::string properties_text(const Properties& properties, double time_left);
 std::string command_text(const Command& command, double time_left);
+std::string value_head(std::string_view id, std::size_t length);
 std::string value_text(std::string_view id, std::string_view value);
 std::string receipt_text(std::string_view id, std::string_view receipt);
 std::string busy_text(double retry_after);
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -43,6 +43,8 @@
 
 constexpr std::size_t kBytesPart = 4;  // of the memory: what each side's buffers may hold together
 
+constexpr const char* kFailed = "SERVER_ERROR failed\r\n";
+
 std::size_t bytes(int memory_mb) { return static_cast<std::size_t>(memory_mb) * 1'000'000 / kBytesPart; }
 
 std::size_t budget(int descriptors, double part) {
@@ -75,11 +77,25 @@
             bytes(station.memory_mb),
             [this](Pool::Ended&& end) {
                 inbox_.emplace_back([this, e = std::move(end)](double now) mutable { ended(now, e); });
-            }),
+            },
+            {[this](std::uint64_t relay) { return relays_.contains(relay) ? clients_.room(relays_[relay]) : 0; },
+             [this](std::uint64_t relay, std::string_view piece) { clients_.piece(relays_[relay], piece); },
+             [this](std::uint64_t relay, bool whole) {
+                 const auto at = relays_.find(relay);
+                 if (at == relays_.end()) return;
+                 const Clients::Asker asker = at->second;
+                 relays_.erase(at);
+                 clients_.end_long(asker, whole, kFailed);
+             }}),
       clients_(
           timers_, log, budget(station.descriptors, kClientsPart), bytes(station.memory_mb),
           [this](const Clients::Asker& asker, Command&& command) { asked(asker, std::move(command)); },
-          [this](const Clients::Asker& asker) { left(asker); }),
+          [this](const Clients::Asker& asker) { left(asker); },
+          {[this](std::uint64_t relay) { pool_.pull(relay); },
+           [this](std::uint64_t relay) {
+               relays_.erase(relay);
+               pool_.give_up(relay);
+           }}),
       discovery_(
           timers_, log, station,
           [this](ServerList&& list) {
@@ -269,7 +285,16 @@
     if (e.inv == Pool::kProbe) return balancer_->probed(now, e.cache, e.ending, e.took);
     Invocation& v = invocation(e.inv);
     --v.out;
-    if (e.ending == Ending::succeeded && !v.over) {
+    if (e.relay != 0 && !v.over) {
+        // The client gets its first bytes now, and no other forward may answer it any more.
+        to_do_.emplace_back([this, asker = v.asker, relay = e.relay, head = value_head(v.command.id, e.length)]() mutable {
+            relays_.emplace(relay, asker);
+            clients_.begin_long(asker, std::move(head), relay);
+        });
+        finish(e.inv);
+    } else if (e.relay != 0) {
+        pool_.give_up(e.relay);
+    } else if (e.ending == Ending::succeeded && !v.over) {
         const Command& c = v.command;
         answer(e.inv, c.kind == Command::Kind::read ? value_text(c.id, e.body) : receipt_text(c.id, e.body));
         finish(e.inv);
@@ -428,7 +453,7 @@
     const double left = std::min(limit, v.due - monotonic());
     // Decided before the turn's news of the server came.
     if (v.over || left <= 0 || !takes_new(cache)) {
-        inbox_.emplace_back([this, e = Pool::Ended{inv, number, cache, Ending::not_sent, 0, {}}](
+        inbox_.emplace_back([this, e = Pool::Ended{inv, number, cache, Ending::not_sent, 0, {}, 0, 0}](
                                 double now) mutable { ended(now, e); });
         return;
     }
@@ -445,7 +470,7 @@
 }
 
 void Node::error(int inv) {
-    answer(inv, "SERVER_ERROR failed\r\n");
+    answer(inv, kFailed);
     finish(inv);
 }
 
@@ -532,7 +557,6 @@
         if (known != cache_index_.end() && is_origin(server(known->second))) return say(409, "the origin cannot be taken out");
         if (!(out ? by_hand_.take_out(name) : by_hand_.call_back(name, wall_less_monotonic_ + now)))
             return say(503, "could not be written down, nothing has changed");
-        log_.line(Topic::node, out ? "taken_out" : "called_back", name + (out ? " taken out by hand" : " called back by hand"));
         merge_by_hand(now, {name});
         say(200, out ? "out" : "may serve");
     });
@@ -546,6 +570,7 @@
         Known& s = server(known->second);
         if (s.by_hand == by_hand_.of(name)) continue;
         s.by_hand = by_hand_.of(name);
+        log_.line(Topic::node, s.by_hand.out ? "taken_out" : "called_back", name + (s.by_hand.out ? " is out by hand" : " may serve again"));
         entries.push_back(listing(known->second));
         if (!takes_new(known->second)) pool_.withdraw(known->second);
     }
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -111,6 +111,7 @@
     std::vector<int> free_;
     int open_ = 0;
     std::unordered_set<std::string> open_ids_;
+    std::unordered_map<std::uint64_t, Clients::Asker> relays_;  // for whom each long value is
     // Servers by the small numbers that the module and the pool know them by.
     std::unordered_map<std::string, int> cache_index_;
     ByHand by_hand_;
--- a/src/net/origin.cpp
+++ b/src/net/origin.cpp
@@ -14,9 +14,17 @@
     return http_request(write ? "PUT" : "GET", target, host, headers, c.value);
 }
 
+LongValue long_origin_answer(std::string_view in) {
+    HttpResponse response;
+    std::size_t length = 0;
+    const std::size_t head = read_response_head(in, kValueMost, response, length);
+    if (head == 0 || !response.sound || response.status != 200 || length <= kWholeMost) return {};
+    return {head, length, 0, {}, response.keep_open};
+}
+
 std::size_t read_origin_answer(std::string_view in, Answer& a) {
     HttpResponse response;
-    const std::size_t taken = read_response(in, kAnswerMost, response);
+    const std::size_t taken = read_response(in, kWholeMost, response);
     if (taken == 0) return 0;
     a = {};
     a.sound = response.sound;
--- a/src/net/origin.h
+++ b/src/net/origin.h
@@ -12,6 +12,7 @@
 namespace brookrelay {
 
 std::string origin_request(const Command& command, double time_left, std::string_view host);
+LongValue long_origin_answer(std::string_view in);
 std::size_t read_origin_answer(std::string_view in, Answer& out);  // 0: not whole yet
 
 }  // namespace brookrelay
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -10,18 +10,21 @@
 namespace brookrelay {
 namespace {
 
-constexpr std::size_t kInMost = kAnswerMost + 16 * 1024;  // a whole value and its head
+constexpr std::size_t kInMost = kWholeMost + 16 * 1024;  // a whole value and its head, or a window of a long one
+constexpr double kStandstill = 10.0;  // s in which a server gives nothing more of a value that it has begun
 constexpr double kIdlePart = 0.8;  // of the idle time told; later the peer may be about to close
 constexpr double kAgeEvery = 1.0;
 
 }  // namespace
 
-Pool::Pool(Timers& timers, Log& log, const Deployment& d, std::size_t most, std::size_t bytes, Tell tell)
+Pool::Pool(Timers& timers, Log& log, const Deployment& d, std::size_t most, std::size_t bytes, Tell tell,
+           Taker taker)
     : timers_(timers),
       log_(log),
       most_(most),
       budget_{bytes},
-      tell_(std::move(tell)) {
+      tell_(std::move(tell)),
+      taker_(std::move(taker)) {
     settle_in(d);
     age();
 }
@@ -61,7 +64,7 @@
     Connection* c = connection_to(cache);
     if (c == nullptr) {
         log_.line(topic(cache), "no_connection_left", s.name + ": no connection is left in the budget, forward not sent");
-        tell_({inv, forward, cache, Ending::refused, 0, {}});
+        tell_({inv, forward, cache, Ending::refused, 0, {}, 0, 0});
         return;
     }
     c->read = command.kind == Command::Kind::read;
@@ -74,7 +77,7 @@
     Connection* c = connection_to(cache);
     const int number = probes_++;
     if (c == nullptr) {
-        tell_({kProbe, number, cache, Ending::refused, 0, {}});
+        tell_({kProbe, number, cache, Ending::refused, 0, {}, 0, 0});
         return;
     }
     c->read = false;
@@ -156,7 +159,9 @@
         case Stream::News::drained:
             break;
         case Stream::News::ended:
-            if (c.busy) {
+            if (c.relay != 0) {
+                pass_on(c);  // what had come before the end may be all of it
+            } else if (c.busy) {
                 broken(c, Ending::reset);
             } else {
                 drop(c);
@@ -199,7 +204,100 @@
     return taken;
 }
 
+// Only a head in which nothing is wrong is passed on: after it no other answer can take this one's place.
+bool Pool::begin_relay(Connection& c) {
+    if (!c.busy || !c.read || !c.stream->all_written()) return false;
+    const bool origin = server(c.cache).origin;
+    LongValue value = origin ? long_origin_answer(c.stream->input()) : long_reply(c.stream->input());
+    if (value.head == 0 || (!origin && value.id != c.id)) return false;
+    c.stream->take(value.head);
+    timers_.call_off(c.limit);
+    out_.erase(mark(c.inv, c.forward));
+    c.relay = ++last_relay_;
+    c.rest = std::move(value);
+    relays_.emplace(c.relay, &c);
+    c.used = monotonic();
+    watch_standstill(c);
+    tell_({c.inv, c.forward, c.cache, Ending::succeeded, c.used - c.sent, {}, c.relay, c.rest.length});
+    return true;
+}
+
+void Pool::pass_on(Connection& c) {
+    while (c.rest.length > 0) {
+        const std::string_view in = c.stream->input();
+        std::size_t bytes = std::min(in.size(), c.rest.length);
+        if (bytes == c.rest.length && c.rest.behind > 0) {
+            // A value that does not end where its head said must not look whole to the client.
+            const std::string_view behind = in.substr(bytes);
+            if (behind.size() < c.rest.behind) {
+                --bytes;
+            } else if (!behind.starts_with("\r\n")) {
+                log_.line(topic(c.cache), "nonsense", server(c.cache).name + ": a long value does not end where it should");
+                return end_relay(c, false);
+            }
+        }
+        const std::size_t room = taker_.room(c.relay);
+        bytes = std::min(bytes, room);
+        if (bytes == 0) {
+            if (!c.stream->up() && room > 0) end_relay(c, false);
+            return;
+        }
+        taker_.piece(c.relay, in.substr(0, bytes));
+        if (c.relay == 0) return;
+        c.rest.length -= bytes;
+        c.stream->take(bytes);
+    }
+    c.stream->take(c.rest.behind);
+    end_relay(c, true);
+}
+
+// Time does not run while what has come waits for its client.
+void Pool::watch_standstill(Connection& c) {
+    c.limit = timers_.at(c.used + kStandstill, [this, &c] {
+        c.limit = {};
+        if (!c.stream->input().empty()) c.used = monotonic();
+        if (monotonic() - c.used < kStandstill) return watch_standstill(c);
+        log_.line(topic(c.cache), "value_broken_off", server(c.cache).name + ": nothing more of a value that it had begun");
+        end_relay(c, false);
+    });
+}
+
+void Pool::end_relay(Connection& c, bool whole) {
+    timers_.call_off(c.limit);
+    const std::uint64_t relay = std::exchange(c.relay, 0);
+    relays_.erase(relay);
+    c.busy = false;
+    rest_or_drop(c, whole && c.rest.reusable);
+    taker_.end(relay, whole);
+}
+
+void Pool::pull(std::uint64_t relay) {
+    const auto at = relays_.find(relay);
+    if (at != relays_.end()) pass_on(*at->second);
+}
+
+void Pool::give_up(std::uint64_t relay) {
+    const auto at = relays_.find(relay);
+    if (at == relays_.end()) return;
+    Connection& c = *at->second;
+    relays_.erase(at);
+    c.relay = 0;
+    c.busy = false;
+    drop(c);
+}
+
+void Pool::rest_or_drop(Connection& c, bool reusable) {
+    if (!reusable || !c.stream->up() || !c.stream->all_written() || !c.stream->input().empty()) return drop(c);
+    c.used = monotonic();
+    server(c.cache).idle.push_back(&c);
+}
+
 void Pool::read_answer(Connection& c) {
+    if (c.relay != 0) {
+        c.used = monotonic();
+        return pass_on(c);
+    }
+    if (begin_relay(c)) return;
     Answer answer;
     std::size_t taken = 0;
     if (c.busy) taken = parse(c, answer);
@@ -223,11 +321,8 @@
         return drop(c);
     }
     c.stream->take(taken);
-    const bool reusable = answer.reusable && c.stream->all_written() && c.stream->input().empty();
     end(c, answer.ending, std::move(answer.body));
-    if (!reusable) return drop(c);
-    c.used = monotonic();
-    server(c.cache).idle.push_back(&c);
+    rest_or_drop(c, answer.reusable);
 }
 
 // What is not connected by the time that a drain is told would begin after it: it is taken back unsent.
@@ -258,7 +353,7 @@
         std::snprintf(text, sizeof text, ": forward %s after %.3f s", failure, took);
         log_.line(topic(c.cache), "forward_failed", server(c.cache).name + text);
     }
-    tell_({c.inv, c.forward, c.cache, ending, took, std::move(body)});
+    tell_({c.inv, c.forward, c.cache, ending, took, std::move(body), 0, 0});
 }
 
 void Pool::drop(Connection& c) {
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -30,12 +31,22 @@
         Ending ending;
         double took;
         std::string body;
+        // A long value follows in pieces, `length` bytes of it, to whom this number stands for; 0: all is told.
+        std::uint64_t relay = 0;
+        std::size_t length = 0;
+    };
+    // Who takes the pieces of long values: how many bytes it has room for, some of them, and their end. Where
+    // there is no room it pulls once there is.
+    struct Taker {
+        std::function<std::size_t(std::uint64_t relay)> room;
+        std::function<void(std::uint64_t relay, std::string_view piece)> piece;
+        std::function<void(std::uint64_t relay, bool whole)> end;
     };
     using Tell = std::function<void(Ended&&)>;
     static constexpr int kProbe = -1;  // in the place of an invocation
 
     Pool(Timers& timers, Log& log, const Deployment& deployment, std::size_t most, std::size_t bytes,
-         Tell tell);
+         Tell tell, Taker taker);
 
     void settle_in(const Deployment& deployment);  // for connections from now on
     void know(int cache, const std::string& name, const std::string& address, bool origin);
@@ -44,6 +55,8 @@
     void forward(int inv, int forward, int cache, const Command& command, double limit);
     void probe(int cache, double limit);
     void cancel(int inv, int forward);
+    void pull(std::uint64_t relay);
+    void give_up(std::uint64_t relay);  // nobody wants the rest
     void release(int cache);   // closes the idle ones
     void withdraw(int cache);  // and those that have not begun to carry what they were opened for
     void sweep();              // takes away what was closed in this turn
@@ -61,6 +74,8 @@
         double used = 0;
         Timers::Handle limit;
         Timers::Handle connect;
+        std::uint64_t relay = 0;  // its long value is being passed on
+        LongValue rest;           // what of it has not been
     };
     struct Server {
         std::string name, address;
@@ -77,6 +92,11 @@
     void start(Connection& c, int inv, int forward, double limit, const std::string& bytes);
     void news(Connection& c, Stream::News news);
     void read_answer(Connection& c);
+    bool begin_relay(Connection& c);
+    void pass_on(Connection& c);
+    void watch_standstill(Connection& c);
+    void end_relay(Connection& c, bool whole);
+    void rest_or_drop(Connection& c, bool reusable);
     std::size_t parse(Connection& c, Answer& answer);
     void broken(Connection& c, Ending if_written);
     void end(Connection& c, Ending ending, std::string body = {});
@@ -90,6 +110,9 @@
     const std::size_t most_;
     ByteBudget budget_;
     Tell tell_;
+    Taker taker_;
+    std::uint64_t last_relay_ = 0;
+    std::unordered_map<std::uint64_t, Connection*> relays_;
     std::vector<Server> servers_;
     std::list<Connection> connections_;
     std::size_t live_ = 0;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -229,6 +229,12 @@
     watch_input();
 }
 
+void Stream::hold_at_most(std::size_t bytes) {
+    in_most_ = bytes;
+    if (!in_.empty()) in_.reserve(taken_ + bytes);  // growing by halves it would hold up to twice as much
+    watch_input();
+}
+
 // The owner may be in the middle of a call to this stream, so it hears of the end from the loop.
 void Stream::broke() {
     unwatch(in_source_);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -52,6 +52,7 @@
     std::size_t unwritten() const { return out_.size(); }
     std::string_view input() const { return std::string_view(in_).substr(taken_); }
     void take(std::size_t bytes);
+    void hold_at_most(std::size_t bytes);  // from now on, of what has come
     void close();
     void finish();  // sends no more once all is written; what still comes is the owner's to throw away
     bool has_unread() const;  // here, or still with the kernel
