--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -36,6 +36,7 @@
 constexpr double kRetryNode = 20;   // at the most, where there are few
 constexpr double kColdSafety = 0.8;  // part of the guaranteed warm-up that is used
 constexpr double kColdBudget = 0.6;  // part of this node's even share of rule 4's budget that is used
+constexpr double kAskApart = 0.12;   // s a node, on average, between first calls for the list
 constexpr double kEvenLoad = 0.5;    // of its capacity, taken for what an even share of keys brings it
 constexpr int kDisplaced = 1;        // closed gates that a key passes before it is throttled
 constexpr double kJamStrain = 0.55;  // part of strained endings from which it passes none: all are full
@@ -332,14 +333,16 @@
         if (deployment_.sizes == Sizes::live && kind != ListKind::disk) weigh_listed_load();
         if (kind == ListKind::disk) {
             // What is on disk may be old in every line, so the list is asked for before anything else.
-            if (deployment_.ask_for_list) host_.watch_list();
+            // But nodes that start together would be turned away together, so each takes its turn by chance.
+            if (deployment_.ask_for_list) host_.wake(ask_spread() * draw(), token(Timer::list, 0, 0));
         } else {
             list_failures_ = 0;
         }
     }
     void list_failed(double) override {
         // Doubling with full jitter: all nodes lose the list at once, and its service has a fixed capacity.
-        const double most = std::min(0.2 * std::pow(2.0, list_failures_), deployment_.ask_every / 2 + 0.2);
+        const double most =
+            std::min(std::max(0.2, ask_spread()) * std::pow(2.0, list_failures_), deployment_.ask_every / 2 + 0.2);
         list_failures_ = std::min(list_failures_ + 1, 10);
         host_.wake(most * (0.3 + 0.7 * draw()), token(Timer::list, 0, 0));
     }
@@ -457,6 +460,7 @@
         for (const Operation& op : deployment.operations)
             origin_target_ = std::min(origin_target_, kOriginPart * op.latency_objective);
     }
+    double ask_spread() const { return std::min(kAskApart * deployment_.nodes, deployment_.ask_every / 2); }
     const Operation& operation(const Invocation& v) const {
         return v.rules->operations[static_cast<std::size_t>(v.what.operation)];
     }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -11,7 +11,9 @@
 
 constexpr double kWait = 10;          // s that a watch may wait for news
 constexpr double kBeyondWait = 2;     // and that its answer may take beyond that before it is given up
-constexpr double kRetryLeast = 0.05;  // s to the next try after a failure; doubles
+// s to the next try after a failure; doubles, each with jitter: nodes that started together fail together, and
+// would come back together for as long as they are turned away.
+constexpr double kRetryLeast = 0.05;
 constexpr double kRetryMost = 1;
 constexpr std::int64_t kNone = -1;                  // no version: the whole list is asked for
 constexpr std::size_t kListMost = 8 * 1024 * 1024;  // tens of thousands of servers
@@ -27,7 +29,8 @@
       told_(std::move(told)),
       tell_failed_(std::move(failed)),
       version_(station.known.version),
-      retry_after_(kRetryLeast) {}
+      retry_after_(kRetryLeast),
+      chance_(static_cast<std::uint32_t>(station.seed ^ (station.seed >> 32))) {}
 
 void Discovery::watch() {
     if (watching_) return;
@@ -86,7 +89,9 @@
     const std::size_t taken = read_response(stream_->input(), kListMost, response);
     if (taken == 0 && !stream_->full()) return;
     if (!calling_ || !response.sound || response.status != 200) {
-        version_ = kNone;  // it may not know the version that we hold, having lost its own
+        // It may not know the version that we hold, having lost its own; one that only turns us away still does, and
+        // the whole list would cost it more.
+        if (!response.sound || response.status != 503) version_ = kNone;
         return failed("nonsense, or status " + std::to_string(response.status));
     }
     stream_->take(taken);
@@ -126,7 +131,8 @@
     hang_up();
     watching_ = false;
     if (asks_) return tell_failed_();
-    next_ = timers_.at(monotonic() + retry_after_, [this] {
+    const double spread = 0.5 + static_cast<double>(chance_()) / static_cast<double>(std::ranlux24_base::max());
+    next_ = timers_.at(monotonic() + retry_after_ * spread, [this] {
         next_ = {};
         watch();
     });
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 
 #include "log.h"
@@ -49,6 +50,7 @@
     Timers::Handle limit_;
     Timers::Handle next_;  // the next call, or the next try
     double retry_after_;
+    std::ranlux24_base chance_;
 };
 
 }  // namespace brookrelay
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -325,14 +325,32 @@
 }
 
 void the_list_is_asked_for_again_after_a_failure() {
-    Fleet fleet(2);
-    fleet.deployment.ask_for_list = true;
-    fleet.start(ListKind::disk);
-    assert(fleet.host.watches == 1);
-    fleet.node->list_failed(fleet.now);
-    assert(fleet.host.timers.size() == 1 && fleet.host.timers[0].after < fleet.deployment.ask_every);
-    fleet.node->woken(fleet.now + 1, fleet.host.timers[0].token);
-    assert(fleet.host.watches == 2);
+    // What many that start together ask for is spread out, first calls and those after a failure.
+    struct Case {
+        int nodes;
+        double first_least, first_most, again_least, again_most;  // s, of twenty nodes the latest
+    };
+    for (const Case& c : {Case{1, 0, 0.2, 0, 0.3}, Case{48, 2, 5, 3, 5.3}, Case{1000, 2, 5, 3, 5.3}}) {
+        double first = 0, again = 0;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            Fleet fleet(2);
+            fleet.deployment.ask_for_list = true;
+            fleet.deployment.nodes = c.nodes;
+            fleet.node = make_balancer(fleet.deployment, seed, fleet.host);
+            fleet.tell(ListKind::disk);
+            assert(fleet.host.watches == 0 && fleet.host.timers.size() == 1);
+            fleet.node->woken(fleet.now + 5, fleet.host.timers[0].token);
+            assert(fleet.host.watches == 1);
+            fleet.node->list_failed(fleet.now + 7);
+            assert(fleet.host.timers.size() == 2);
+            fleet.node->woken(fleet.now + 13, fleet.host.timers[1].token);
+            assert(fleet.host.watches == 2);
+            first = std::max(first, fleet.host.timers[0].after);
+            again = std::max(again, fleet.host.timers[1].after);
+        }
+        assert(first >= c.first_least && first <= c.first_most);
+        assert(again >= c.again_least && again <= c.again_most);
+    }
 }
 
 // A process that takes another's place knows a silent cache and a slow one at once; figures out of all bounds are bounded.
