Two processes share one budget of descriptors and bytes; a relay no longer enters itself

Found: Stream::write tells 'drained' from inside when what waited has gone, so Clients pulled the relay from inside a piece of it and both loops took the same bytes. Ruled out: the stand-in closing early (the failing run had it open). Lines at fault: Pool::pass_on. Change: it does not enter itself; src/net/beside publishes each process's descriptors as the size of a locked file, and the other takes them off its own places and bytes.

--- /dev/null
+++ b/src/net/beside.cpp
@@ -0,0 +1,63 @@
+#include "beside.h"
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <memory>
+#include <string_view>
+
+namespace brookrelay {
+namespace {
+
+constexpr std::string_view kAlive = "alive-";
+
+struct CloseFolder {
+    void operator()(DIR* folder) const { closedir(folder); }
+};
+
+}  // namespace
+
+Beside::Beside(const std::string& folder) : folder_(folder) {
+    if (folder_.empty()) return;
+    own_ = std::string(kAlive) + std::to_string(getpid());
+    file_ = open((folder_ + "/" + own_).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    if (file_ >= 0) flock(file_, LOCK_EX | LOCK_NB);
+    holds(0);
+}
+
+Beside::~Beside() {
+    if (file_ < 0) return;
+    unlink((folder_ + "/" + own_).c_str());
+    close(file_);
+}
+
+void Beside::holds(int descriptors) {
+    if (file_ < 0 || descriptors == told_) return;
+    if (ftruncate(file_, descriptors) == 0) told_ = descriptors;
+}
+
+Beside::Others Beside::others() const {
+    Others others;
+    const std::unique_ptr<DIR, CloseFolder> folder(file_ < 0 ? nullptr : opendir(folder_.c_str()));
+    if (folder == nullptr) return others;
+    while (const dirent* entry = readdir(folder.get())) {
+        const std::string_view name(entry->d_name);
+        if (!name.starts_with(kAlive) || name == own_) continue;
+        const int file = openat(dirfd(folder.get()), entry->d_name, O_RDWR | O_CLOEXEC);
+        if (file < 0) continue;
+        struct stat told {};
+        if (flock(file, LOCK_EX | LOCK_NB) == 0) {
+            unlinkat(dirfd(folder.get()), entry->d_name, 0);  // whose it was is gone
+        } else if (fstat(file, &told) == 0) {
+            ++others.processes;
+            others.descriptors += static_cast<int>(told.st_size);
+        }
+        close(file);
+    }
+    return others;
+}
+
+}  // namespace brookrelay
--- /dev/null
+++ b/src/net/beside.h
@@ -0,0 +1,30 @@
+// Other processes of this node: what they hold of the one budget that all share. It owns a file of this process's
+// that is locked as long as it lives, so that one that was killed is not counted, and as long as its size says how
+// many descriptors are in use. It limits nothing itself.
+#pragma once
+
+#include <string>
+
+namespace brookrelay {
+
+class Beside {
+  public:
+    explicit Beside(const std::string& folder);  // empty: this process is alone
+    ~Beside();
+    Beside(const Beside&) = delete;
+    Beside& operator=(const Beside&) = delete;
+
+    void holds(int descriptors);  // this process, by now
+    struct Others {
+        int processes = 0;
+        int descriptors = 0;
+    };
+    Others others() const;
+
+  private:
+    std::string folder_, own_;
+    int file_ = -1;
+    int told_ = -1;
+};
+
+}  // namespace brookrelay
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -35,7 +35,9 @@
                  Relayed relayed)
     : timers_(timers),
       log_(log),
+      most_ever_(most),
       most_(most),
+      bytes_ever_(bytes),
       budget_{bytes},
       asked_(std::move(asked)),
       left_(std::move(left)),
@@ -51,6 +53,12 @@
     watch_listener(true);
 }
 
+void Clients::keep_to(double part) {
+    most_ = static_cast<std::size_t>(part * static_cast<double>(most_ever_));
+    budget_.most = static_cast<std::size_t>(part * static_cast<double>(bytes_ever_));
+    reserved_most_ = budget_.most / kReservedPart;
+}
+
 void Clients::stop_accepting() {
     timers_.call_off(accept_again_);
     watch_listener(false);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -53,6 +53,8 @@
     // From now on each connection is closed once it has nothing to be answered.
     void wind_down();
     bool none() const { return live_ == 0; }
+    int live() const { return static_cast<int>(live_); }
+    void keep_to(double part);  // of its connections and bytes: the rest is another process's
     bool quiet_since(double time) const;  // nothing is owed to anyone, and nobody has asked
     void sweep();
 
@@ -100,12 +102,14 @@
 
     Timers& timers_;
     Log& log_;
-    const std::size_t most_;
+    const std::size_t most_ever_;
+    std::size_t most_;
+    const std::size_t bytes_ever_;
     ByteBudget budget_;
     Asked asked_;
     Left left_;
     Relayed relayed_;
-    const std::size_t reserved_most_;
+    std::size_t reserved_most_;
     std::size_t reserved_ = 0;  // bytes of long values that clients write
     SocketRef listener_;
     GSource* accepting_ = nullptr;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -41,6 +41,9 @@
 constexpr double kLeaveLearned = 0.25;  // s between the times that it is written down
 constexpr double kLearnedKept = 3.0;    // older than that it says little of how the caches are now
 
+constexpr int kGrowMeanwhile = 16;      // descriptors that another process may open between two looks
+constexpr double kPartLeast = 0.25;     // of the budget: two that both hold much must both go on
+
 constexpr std::size_t kBytesPart = 4;  // of the memory: what each side's buffers may hold together
 
 constexpr const char* kFailed = "SERVER_ERROR failed\r\n";
@@ -142,6 +145,8 @@
     } else if (!station_.deployment.ask_for_list) {
         discovery_.watch();
     }
+    if (shared_) beside_ = std::make_unique<Beside>(own_folder(station_));
+    share_budget();
     clients_.listen(std::move(listener));
     timers_.at(monotonic(), [this] { look_by_hand(); });
     if (shared_ && !station_.scratch.empty()) timers_.at(monotonic() + kLeaveLearned, [this] { leave_learned(); });
@@ -582,9 +587,24 @@
     if (!changed.empty()) {
         inbox_.emplace_back([this, names = std::move(changed)](double now) { merge_by_hand(now, names); });
     }
+    share_budget();
     timers_.at(monotonic() + kLookByHand, [this] { look_by_hand(); });
 }
 
+// Descriptors and memory are one budget for all processes of this node: what the others hold is not this one's.
+void Node::share_budget() {
+    if (beside_ == nullptr) return;
+    beside_->holds(clients_.live() + pool_.live());
+    const Beside::Others others = beside_->others();
+    const double all = station_.descriptors - kDescriptorsKept;
+    const double taken = others.descriptors + others.processes * (kDescriptorsKept + kGrowMeanwhile);
+    const double part = std::max(1 - taken / all, kPartLeast);
+    if (part == part_) return;
+    part_ = part;
+    clients_.keep_to(part);
+    pool_.keep_to(part);
+}
+
 // For the process that will take this one's place, which has no time to learn it anew.
 void Node::leave_learned() {
     if (!takes_clients_) return;
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "balancer.h"
+#include "beside.h"
 #include "by_hand.h"
 #include "clients.h"
 #include "discovery.h"
@@ -90,6 +91,7 @@
     bool takes_new(int cache) const;
     void merge_by_hand(double now, const std::vector<std::string>& names);
     void look_by_hand();
+    void share_budget();
     void leave_learned();
     void recall_learned(double now);
 
@@ -115,6 +117,8 @@
     // Servers by the small numbers that the module and the pool know them by.
     std::unordered_map<std::string, int> cache_index_;
     ByHand by_hand_;
+    std::unique_ptr<Beside> beside_;  // where the listener is shared
+    double part_ = 1;                 // of the budget that is this process's
     std::deque<Known> servers_;  // names in it are lent to the module while more are added
     std::vector<int> free_numbers_;
     Timers::Handle forgetting_;
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -21,7 +21,9 @@
            Taker taker)
     : timers_(timers),
       log_(log),
+      most_ever_(most),
       most_(most),
+      bytes_ever_(bytes),
       budget_{bytes},
       tell_(std::move(tell)),
       taker_(std::move(taker)) {
@@ -34,6 +36,12 @@
     idle_most_ = d.connection_idle > 0 ? kIdlePart * d.connection_idle : 1e9;
 }
 
+void Pool::keep_to(double part) {
+    most_ = static_cast<std::size_t>(part * static_cast<double>(most_ever_));
+    budget_.most = static_cast<std::size_t>(part * static_cast<double>(bytes_ever_));
+    while (live_ > most_ && make_room()) continue;
+}
+
 void Pool::know(int cache, const std::string& name, const std::string& address, bool origin) {
     if (cache >= static_cast<int>(servers_.size())) servers_.resize(static_cast<std::size_t>(cache) + 1);
     Server& s = server(cache);
@@ -223,6 +231,7 @@
 }
 
 void Pool::pass_on(Connection& c) {
+    if (c.passing) return;  // the loop below goes on with what there is room for by then
     while (c.rest.length > 0) {
         const std::string_view in = c.stream->input();
         std::size_t bytes = std::min(in.size(), c.rest.length);
@@ -242,7 +251,9 @@
             if (!c.stream->up() && room > 0) end_relay(c, false);
             return;
         }
+        c.passing = true;
         taker_.piece(c.relay, in.substr(0, bytes));
+        c.passing = false;
         if (c.relay == 0) return;
         c.rest.length -= bytes;
         c.stream->take(bytes);
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -59,6 +59,8 @@
     void give_up(std::uint64_t relay);  // nobody wants the rest
     void release(int cache);   // closes the idle ones
     void withdraw(int cache);  // and those that have not begun to carry what they were opened for
+    int live() const { return static_cast<int>(live_); }
+    void keep_to(double part);  // of its connections and bytes: the rest is another process's
     void sweep();              // takes away what was closed in this turn
 
   private:
@@ -76,6 +78,7 @@
         Timers::Handle connect;
         std::uint64_t relay = 0;  // its long value is being passed on
         LongValue rest;           // what of it has not been
+        bool passing = false;     // a piece, whose taker may pull from inside
     };
     struct Server {
         std::string name, address;
@@ -107,7 +110,9 @@
     Log& log_;
     double connect_timeout_ = 0;
     double idle_most_ = 0;
-    const std::size_t most_;
+    const std::size_t most_ever_;
+    std::size_t most_;
+    const std::size_t bytes_ever_;
     ByteBudget budget_;
     Tell tell_;
     Taker taker_;
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -217,6 +217,32 @@
     wait_for([&] { return heard_of_forty(fleet, last, "v") > 0; });
 }
 
+// Idle clients of both count: together they hold no more than one process may.
+void descriptors_are_one_budget_for_two_processes() {
+    const Scratch scratch;
+    Around around = run_by_operators();
+    around.inherited = true;
+    around.tmp = scratch.path();
+    around.descriptors = 128;  // 62 for clients
+    Fleet fleet(1, around);
+    Process next = fleet.second();
+    wait_for([&] { return Fleet::call(next.management, "GET", "/control/ready") == 200; });
+    fleet.caches.front().plays(silent);
+    std::list<Line> lines;
+    for (int k = 0; k < 110; ++k) {
+        lines.emplace_back(own_loopback(), fleet.port());
+        lines.back().send(read_of("k" + std::to_string(k), "b" + std::to_string(k)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(4));
+    }
+    const int both = fleet.daemon().figures().descriptors + next.daemon->figures().descriptors;
+    std::printf("two processes: %d descriptors\n", both);
+    assert(both > 60 && both <= 128);
+    next.daemon->kill();
+    lines.clear();
+    // Who was killed is counted no longer.
+    wait_for([&] { return fleet.ask("mn\r\n") == "MN\r\n"; });
+}
+
 constexpr std::size_t kLong = 4 * 1024 * 1024;
 
 // Other bytes at each place, so that a piece that is lost, or comes twice, shows.
@@ -359,6 +385,7 @@
     a_second_process_that_fails_leaves_the_first();
     a_cache_out_by_hand_gets_nothing_whatever_the_list_says();
     a_ban_holds_for_all_processes_of_the_node();
+    descriptors_are_one_budget_for_two_processes();
     long_values_pass_as_they_come();
     a_long_value_that_breaks_off_is_seen_to();
     many_long_values_fit_in_little_memory();
