--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -243,6 +243,17 @@
     wait_for([&] { return fleet.ask("mn\r\n") == "MN\r\n"; });
 }
 
+// Turned away it has lost nothing: it asks on for news of the version that it holds, and serves meanwhile.
+void a_discovery_that_turns_callers_away_is_asked_for_news() {
+    std::atomic<int> calls{0};
+    Around around;
+    around.watch = [&](const std::string&) { return ++calls <= 3 ? Act{http("", "503 Service Unavailable")} : Act{}; };
+    Fleet fleet(1, around);
+    assert(fleet.ask(read_of("7f3a", "t1")) == "VA 5 Ot1\r\n");
+    wait_for([&] { return fleet.discovery.heard().size() >= 4; });
+    for (const std::string& asked : fleet.discovery.heard()) assert(asked.find("index=7&") != std::string::npos);
+}
+
 constexpr std::size_t kLong = 4 * 1024 * 1024;
 
 // Other bytes at each place, so that a piece that is lost, or comes twice, shows.
@@ -386,6 +397,7 @@
     a_cache_out_by_hand_gets_nothing_whatever_the_list_says();
     a_ban_holds_for_all_processes_of_the_node();
     descriptors_are_one_budget_for_two_processes();
+    a_discovery_that_turns_callers_away_is_asked_for_news();
     long_values_pass_as_they_come();
     a_long_value_that_breaks_off_is_seen_to();
     many_long_values_fit_in_little_memory();
