--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -346,8 +346,10 @@
 void Clients::close_if_done(std::uint64_t id, Client& c) {
     const bool done = c.last ? c.pending.empty() : winding_down_ && between_commands(c);
     if (!done || c.finishing) return;
-    // Nothing is on its way out to it: its descriptor is free at once, which another process may need.
-    if (winding_down_ && !c.last && c.stream->unwritten() == 0) return drop(id, c);
+    // What was last written has long been taken: the descriptor is free at once, which another process may need.
+    // Sooner, a command that crosses would reset the answer on its way.
+    const bool rested = c.stream->unwritten() == 0 && monotonic() - c.used >= kIdleLeast;
+    if (winding_down_ && !c.last && rested) return drop(id, c);
     c.last = c.finishing = true;
     c.stream->finish();
     linger(id, c);
