The test of one budget for two processes fails without it: 142 descriptors, 70 with it

Seen on reading the change again: the test sent reads that the module turns away, so two processes never came near the bound of 128 (79 to 81, with the budget shared or not), and what it said of a killed process was asked of nobody. Now 130 clients connect and say nothing: with Node::share_budget left out it ends at 142 of 128 descriptors and fails, with it 68 to 71 in four runs; after the second process was killed the first one takes its places.

--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -217,7 +217,7 @@
     wait_for([&] { return heard_of_forty(fleet, last, "v") > 0; });
 }
 
-// Idle clients of both count: together they hold no more than one process may.
+// Clients of both count: together they hold no more than one process may, and who was killed holds nothing.
 void descriptors_are_one_budget_for_two_processes() {
     const Scratch scratch;
     Around around = run_by_operators();
@@ -227,20 +227,16 @@
     Fleet fleet(1, around);
     Process next = fleet.second();
     wait_for([&] { return Fleet::call(next.management, "GET", "/control/ready") == 200; });
-    fleet.caches.front().plays(silent);
-    std::list<Line> lines;
-    for (int k = 0; k < 110; ++k) {
+    std::list<Line> lines;  // new ones, which are let go for nobody
+    for (int k = 0; k < 130; ++k) {
         lines.emplace_back(own_loopback(), fleet.port());
-        lines.back().send(read_of("k" + std::to_string(k), "b" + std::to_string(k)));
-        std::this_thread::sleep_for(std::chrono::milliseconds(4));
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
     }
     const int both = fleet.daemon().figures().descriptors + next.daemon->figures().descriptors;
     std::printf("two processes: %d descriptors\n", both);
-    assert(both > 60 && both <= 128);
+    assert(both > 50 && both <= 128);
     next.daemon->kill();
-    lines.clear();
-    // Who was killed is counted no longer.
-    wait_for([&] { return fleet.ask("mn\r\n") == "MN\r\n"; });
+    wait_for([&] { return fleet.daemon().figures().descriptors > 65; });
 }
 
 // Turned away it has lost nothing: it asks on for news of the version that it holds, and serves meanwhile.
