--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -27,6 +27,8 @@
 constexpr int kFloor = 6;          // the design: at least two; a small floor passes over on chance alone
 constexpr int kSilentRun = 3;       // failures in a row that make a suspect; fewer and chance errors do
 constexpr double kSilence = 0.3;    // s without any answer, with forwards out, that make a suspect
+constexpr int kZoneRun = 3;            // in a row at one zone that make all of it suspect, and
+constexpr double kZoneChance = 0.01;  // how seldom chance may bring them
 constexpr double kTrialGap = 0.5;   // s to the first trial of a suspect; doubles up to kTrialGapMost
 constexpr double kTrialGapMost = 2.0;
 constexpr double kRestart = 3.0;  // s of silence that may hide a restart; less is a jam
@@ -180,6 +182,24 @@
     }
 };
 
+// Of one cache, or of all in a zone: passed over but for a trial now and then, which an answer ends.
+struct Doubt {
+    bool held = false;
+    double since = 0;
+    double next_trial = 0;
+    double trial_gap = kTrialGap;
+
+    void raise(double spread, double now) {
+        if (!held) {
+            trial_gap = kTrialGap;
+            since = now;
+        }
+        held = true;
+        next_trial = now + trial_gap * (0.75 + 0.5 * spread);
+        trial_gap = std::min(2 * trial_gap, kTrialGapMost);
+    }
+};
+
 struct Cache {
     std::uint64_t hash = 0;
     int zone = 0;
@@ -196,10 +216,7 @@
     double answered = -1e9;    // when it last did
     double unanswered = 0;     // when the first forward since its last answer went out; 0: none
     int failures = 0;          // in a row
-    bool suspect = false;
-    double suspect_since = 0;
-    double next_trial = 0;
-    double trial_gap = kTrialGap;
+    Doubt doubt;
     Gate gate{kCacheStart};
     Meter pace{kPaceSpan};  // seconds its answers took
     Meter cold_sent;
@@ -273,7 +290,7 @@
         for (std::size_t i = 0; i < caches_.size(); ++i) {
             const Cache& c = caches_[i];
             if (c.standing != Standing::ready || c.origin) continue;
-            l.caches.push_back({static_cast<int>(i), c.gate.limit, c.gate.pause_until - now, c.suspect});
+            l.caches.push_back({static_cast<int>(i), c.gate.limit, c.gate.pause_until - now, c.doubt.held});
         }
         return l;
     }
@@ -403,7 +420,7 @@
             if (v.missed_at < 0) v.missed_at = at;
             to_origin(v, now);
         } else if (v.out == 0 && v.wait == Wait::none) {
-            again(v, now, c.origin);
+            again(v, now, c, ending);
         }
     }
     void stream_started(double, int inv, int) override {
@@ -440,6 +457,12 @@
         double share = 1;
         double size = 0;  // the largest that the list gave one of it; 0: none
     };
+    struct Zone {
+        Meter lost{kMoreSpan};  // endings there: 1 without a connection that holds, 0 with an answer
+        int run = 0;            // of those without, since the last answer
+        double keep = 0;        // keep_ as that began
+        Doubt doubt;
+    };
     struct Share {
         double quota = 0;
         double tokens = 0;
@@ -450,6 +473,7 @@
         deployment_ = deployment;
         rules_ = std::make_shared<const Deployment>(deployment);
         rings_.assign(static_cast<std::size_t>(std::max(1, deployment.zones)) + 1, {});
+        zones_.assign(rings_.size(), {});
         members_.assign(rings_.size(), 0);
         outs_.assign(rings_.size(), 0);
         tenants_.assign(deployment.tenants.size(), {});
@@ -572,7 +596,8 @@
                 declined = true;
                 continue;
             }
-            if (!last_resort && !healthy(c, now) && !trial_due(c, v, now)) continue;
+            Doubt* doubt = doubt_of(c, now);
+            if (!last_resort && doubt != nullptr && !trial_due(*doubt, v, now)) continue;
             if (!c.gate.open(c.out, now)) {
                 // Further round, a cache lacks the key: a forward would miss, and push out what it holds.
                 if (++jammed > (strained_ > kJamStrain ? 0 : kDisplaced))
@@ -759,21 +784,45 @@
     }
 
     // ---- health --------------------------------------------------------------------------------------
-    bool healthy(Cache& c, double now) {
-        if (!c.suspect && c.out >= 2 && c.unanswered > 0) {
+    Doubt* doubt_of(Cache& c, double now) {
+        if (!c.doubt.held && c.out >= 2 && c.unanswered > 0) {
             if (now - c.unanswered > std::max(kSilence, 3 * c.pace.mean(now))) suspect(c, now);
         }
-        return !c.suspect;
+        Doubt& of_zone = zones_[static_cast<std::size_t>(c.zone)].doubt;
+        return of_zone.held ? &of_zone : c.doubt.held ? &c.doubt : nullptr;
     }
     void suspect(Cache& c, double now) {
-        if (!c.suspect) {
-            c.trial_gap = kTrialGap;
-            c.suspect_since = now;
-            call_back(static_cast<int>(&c - caches_.data()), now);
+        if (!c.doubt.held) call_back(static_cast<int>(&c - caches_.data()), now);
+        c.doubt.raise(draw(), now);
+    }
+    // A zone that is lost or cut off shows at a node with little traffic by one lost connection at each of many
+    // caches, and none is suspect by itself. So they are taken together: as many in a row without an answer from
+    // the zone as chance would seldom bring at the share that the best zone loses. Where tables are full that
+    // share is high and so is the number. Covers racks and power lost by zone; when one zone alone has full
+    // tables it turns from that zone for a trial's gap.
+    void judge_zone(const Cache& c, const Forward& f, Ending ending, double now) {
+        Zone& z = zones_[static_cast<std::size_t>(c.zone)];
+        if (ending == Ending::refused || ending == Ending::reset) {
+            z.lost.add(now, 1);
+            if (++z.run == 1) z.keep = keep_;
+            double least = 1;
+            for (Zone& other : zones_) {
+                if (other.lost.count(now) >= kZoneRun) least = std::min(least, other.lost.mean(now));
+            }
+            const bool chance = z.run < kZoneRun || std::pow(least, z.run) > kZoneChance;
+            if (pooled() < 2 || (z.doubt.held ? f.sent < z.doubt.since : chance)) return;
+            if (!z.doubt.held) keep_ = std::max(keep_, z.keep);  // it was not for full tables
+            z.doubt.raise(draw(), now);
+        } else if (ending != Ending::timed_out && ending != Ending::cancelled && ending != Ending::not_sent) {
+            z.lost.add(now, 0);
+            z.run = 0;
+            z.doubt.held = false;
         }
-        c.suspect = true;
-        c.next_trial = now + c.trial_gap * (0.75 + 0.5 * draw());
-        c.trial_gap = std::min(2 * c.trial_gap, kTrialGapMost);
+    }
+    // Exception: what a lost zone refuses is no sign of load.
+    bool lost_with_zone(const Cache& c, Ending ending) const {
+        return (ending == Ending::refused || ending == Ending::reset) && !c.origin &&
+               zones_[static_cast<std::size_t>(c.zone)].doubt.held;
     }
     // What a silent cache holds would wait out its time there; called back, it goes on to another cache.
     void call_back(int cache, double now) {
@@ -786,10 +835,10 @@
         }
     }
     // A suspect gets one invocation now and then, only one that may be forwarded again.
-    bool trial_due(Cache& c, const Invocation& v, double now) {
-        if (now < c.next_trial || operation(v).repeat != Repeat::idempotent || !v.forwards.empty())
+    bool trial_due(Doubt& d, const Invocation& v, double now) {
+        if (now < d.next_trial || operation(v).repeat != Repeat::idempotent || !v.forwards.empty())
             return false;
-        c.next_trial = now + c.trial_gap;
+        d.next_trial = now + d.trial_gap;
         return true;
     }
     // Exception: lost by its connection alone, while others are answered quickly: no sign of load or health.
@@ -799,7 +848,9 @@
     }
     void judge(Cache& c, const Invocation& v, const Forward& f, Ending ending, double took, double now) {
         const Operation& op = operation(v);
-        if (!c.origin) {
+        if (!c.origin) judge_zone(c, f, ending, now);
+        const bool with_zone = lost_with_zone(c, ending);
+        if (!c.origin && !with_zone) {
             const bool strain = ending == Ending::busy || ending == Ending::timed_out ||
                                 ending == Ending::refused || took > kStrainPart * op.latency_objective;
             endings_.add(now, strain);
@@ -821,10 +872,10 @@
                 } else {
                     c.gate.grow(c.out);
                 }
-                if (c.suspect) {
+                if (c.doubt.held) {
                     // Silent for long, it may have restarted: cold until the list says otherwise.
-                    if (now - c.suspect_since > kRestart) c.cold_since = std::max(c.cold_since, now);
-                    c.suspect = false;
+                    if (now - c.doubt.since > kRestart) c.cold_since = std::max(c.cold_since, now);
+                    c.doubt.held = false;
                     c.pace.clear();
                 }
                 break;
@@ -840,7 +891,7 @@
             case Ending::refused:
             case Ending::reset:
                 // A machine that has gone silent takes all of the connect time; a full table says so at once.
-                if (ending == Ending::refused && took < kQuickRefusal * deployment_.connect_timeout)
+                if (!with_zone && ending == Ending::refused && took < kQuickRefusal * deployment_.connect_timeout)
                     keep_ = std::max(keep_ / 2, kKeepLeast);
                 if (f.sent < c.unanswered) c.unanswered = f.sent;
                 if (c.origin) return;
@@ -886,11 +937,12 @@
     }
     // After a failed forward: another if rule 2, the time left and the budget all allow it; but in a jam none
     // goes to a further cache: all are full, and each try costs one of them a handshake and a place in vain.
-    void again(Invocation& v, double now, bool from_origin) {
-        if (v.useful - now > 2 * deployment_.tick && retries_ >= 1 &&
-            (from_origin || strained_ <= kJamStrain)) {
-            retries_ -= 1;
-            if (from_origin)
+    void again(Invocation& v, double now, const Cache& from, Ending ending) {
+        const bool free = lost_with_zone(from, ending);  // it cost nobody work
+        if (v.useful - now > 2 * deployment_.tick &&
+            (free || (retries_ >= 1 && (from.origin || strained_ <= kJamStrain)))) {
+            if (!free) retries_ -= 1;
+            if (from.origin)
                 to_origin(v, now);
             else
                 to_cache(v, now);
@@ -1092,6 +1144,7 @@
     int origin_ = -1;
     std::vector<Invocation> invs_;
     std::vector<Kind> kinds_;
+    std::vector<Zone> zones_;
     std::vector<Share> tenants_;
     std::array<std::map<std::uint64_t, int>, 2> counts_;  // how often each key came, this generation and last
     std::array<int, 2> counted_{};
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -388,9 +388,71 @@
     for (const Learned::OfCache& c : kept.caches) assert(c.limit >= 1 && c.rest < 10);
 }
 
+// In a fleet of hundreds a node meets each cache of a lost zone once, and no cache was suspect by itself: over half of the
+// forwards failed, which passed for a jam, and the refusals for full tables.
+void a_lost_zone_is_passed_over_as_one() {
+    struct Case {
+        int answered_before;  // in a row in both zones, and after that over and over:
+        int refused, answered;
+        bool doubted;
+    };
+    // A zone that refuses three in a row by chance, as with full tables, is not lost.
+    for (const Case& c : {Case{20, 3, 0, true}, Case{20, 2, 0, false}, Case{0, 3, 1, false}, Case{0, 8, 5, false}}) {
+        Fleet fleet(96, 2);
+        fleet.deployment.nodes = 300;
+        fleet.deployment.most_forwards = 2;
+        fleet.deployment.connection_idle = 15;
+        fleet.deployment.connect_timeout = 0.25;
+        fleet.start();
+        std::uint64_t key = 0;
+        // Where the next invocation goes, which ends so there and is not forwarded again; the own zone is 0.
+        const auto next = [&](Ending ending) {
+            fleet.now += 0.002;  // all of a case within one look, or reach moves keys too
+            const std::size_t before = fleet.host.sent.size();
+            const int inv = fleet.arrive(++key * 7919);
+            if (fleet.host.sent.size() == before) return -1;
+            const int zone = (fleet.host.sent.back().cache - 1) % 2;
+            fleet.end(inv, 0, ending, 0.001, true);
+            return zone;
+        };
+        for (int n = 0; n < c.answered_before; ++n) assert(next(Ending::succeeded) == 0);
+        for (int round = 0; round < (c.answered > 0 ? 6 : 1); ++round) {
+            for (int n = 0; n < c.refused; ++n) assert(next(Ending::refused) == 0);
+            for (int n = 0; n < c.answered; ++n) assert(next(Ending::succeeded) == 0);
+        }
+        assert(next(Ending::succeeded) == (c.doubted ? 1 : 0));
+        if (!c.doubted) continue;
+        // What its refusals say of tables is taken back: connections rest as long as before.
+        fleet.now += 5;
+        assert(next(Ending::refused) == 0);
+        assert(fleet.host.released.empty());
+        // Trials go on elsewhere, whatever tokens are left and however strained the rest is; an answer ends it.
+        int trials = 0, in_zone = 0;
+        for (int n = 0; n < 200; ++n) {
+            fleet.now += 0.02;
+            const std::size_t before = fleet.host.sent.size();
+            const int inv = fleet.arrive(++key * 7919);
+            if (fleet.host.sent.size() == before) continue;
+            if ((fleet.host.sent.back().cache - 1) % 2 == 1) {
+                fleet.end(inv, 0, Ending::succeeded, n % 3 == 0 ? 0.05 : 0.3, true);
+                continue;
+            }
+            ++trials;
+            fleet.end(inv, 0, Ending::refused, 0.25);
+            assert(fleet.host.sent.back().inv == inv && (fleet.host.sent.back().cache - 1) % 2 == 1);
+            fleet.end(inv, 1, Ending::succeeded, 0.05, true);
+        }
+        assert(trials >= 2 && trials <= 10);
+        fleet.now += 5;
+        for (int n = 0; n < 200; ++n) in_zone += next(Ending::succeeded) == 0;
+        assert(in_zone > 80);
+    }
+}
+
 }  // namespace
 
 int main() {
+    a_lost_zone_is_passed_over_as_one();
     what_another_process_learned_holds_from_the_first_invocation();
     reads_are_turned_away_while_the_list_shows_all_crowded();
     reads_are_turned_away_while_forwards_come_too_late();
