Only what a lost zone refused goes on free of tokens, and only while another zone stands

Seen on reading the change again: lost_with_zone() also freed resets, which may have cost work, and with every zone in doubt each invocation could have spent all its forwards (six) on them without a token; balancer.cpp again().

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -358,8 +358,8 @@
     }
     void list_failed(double) override {
         // Doubling with full jitter: all nodes lose the list at once, and its service has a fixed capacity.
-        const double most =
-            std::min(std::max(0.2, ask_spread()) * std::pow(2.0, list_failures_), deployment_.ask_every / 2 + 0.2);
+        const double most = std::min(std::max(0.2, ask_spread()) * std::pow(2.0, list_failures_),
+                                     deployment_.ask_every / 2 + 0.2);
         list_failures_ = std::min(list_failures_ + 1, 10);
         host_.wake(most * (0.3 + 0.7 * draw()), token(Timer::list, 0, 0));
     }
@@ -795,11 +795,11 @@
         if (!c.doubt.held) call_back(static_cast<int>(&c - caches_.data()), now);
         c.doubt.raise(draw(), now);
     }
-    // A zone that is lost or cut off shows at a node with little traffic by one lost connection at each of many
-    // caches, and none is suspect by itself. So they are taken together: as many in a row without an answer from
-    // the zone as chance would seldom bring at the share that the best zone loses. Where tables are full that
-    // share is high and so is the number. Covers racks and power lost by zone; when one zone alone has full
-    // tables it turns from that zone for a trial's gap.
+    // A zone that is lost or cut off shows at a node with little traffic by one lost connection at each of
+    // many caches, and none is suspect by itself. So they are taken together: as many in a row without an
+    // answer from the zone as chance would seldom bring at the share that the best zone loses. Where tables
+    // are full that share is high and so is the number. Covers racks and power lost by zone; when one zone
+    // alone has full tables it turns from that zone for a trial's gap.
     void judge_zone(const Cache& c, const Forward& f, Ending ending, double now) {
         Zone& z = zones_[static_cast<std::size_t>(c.zone)];
         if (ending == Ending::refused || ending == Ending::reset) {
@@ -891,7 +891,8 @@
             case Ending::refused:
             case Ending::reset:
                 // A machine that has gone silent takes all of the connect time; a full table says so at once.
-                if (!with_zone && ending == Ending::refused && took < kQuickRefusal * deployment_.connect_timeout)
+                if (!with_zone && ending == Ending::refused &&
+                    took < kQuickRefusal * deployment_.connect_timeout)
                     keep_ = std::max(keep_ / 2, kKeepLeast);
                 if (f.sent < c.unanswered) c.unanswered = f.sent;
                 if (c.origin) return;
@@ -938,7 +939,10 @@
     // After a failed forward: another if rule 2, the time left and the budget all allow it; but in a jam none
     // goes to a further cache: all are full, and each try costs one of them a handshake and a place in vain.
     void again(Invocation& v, double now, const Cache& from, Ending ending) {
-        const bool free = lost_with_zone(from, ending);  // it cost nobody work
+        // What a lost zone refused cost nobody work, so it needs no token while another zone stands.
+        const auto stands = [](const Zone& z) { return !z.doubt.held; };
+        const bool free = ending == Ending::refused && lost_with_zone(from, ending) &&
+                          std::any_of(zones_.begin(), zones_.end() - 1, stands);
         if (v.useful - now > 2 * deployment_.tick &&
             (free || (retries_ >= 1 && (from.origin || strained_ <= kJamStrain)))) {
             if (!free) retries_ -= 1;
--- a/src/decision/balancer.h
+++ b/src/decision/balancer.h
@@ -126,9 +126,9 @@
     virtual void client_left(double now, int inv) = 0;
     virtual void probed(double now, int cache, Ending ending, double took) = 0;
     virtual void woken(double now, std::uint64_t token) = 0;
-    // Other settings from now on; the own zone and number stay what they were, and so does the origin's place.
-    // What is open ends by the operation that it came with. Right after it the whole list is told again, since
-    // zones and kinds may be numbered anew.
+    // Other settings from now on; the own zone and number stay what they were, and so does the origin's
+    // place. What is open ends by the operation that it came with. Right after it the whole list is told
+    // again, since zones and kinds may be numbered anew.
     virtual void redeployed(double now, const Deployment& deployment) = 0;
     // What it has learned so far; and what another one had, of caches that have been listed here by now.
     virtual Learned learned(double now) const = 0;
