A test of further forwards with every zone lost: they need tokens, and fails without that

The condition in again() that another zone must stand had no test; with it taken out 40 invocations send 40 further forwards in place of 10 at most.

--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -449,9 +449,30 @@
     }
 }
 
+// A node that reaches nobody had no bound on its further forwards but the most an invocation may have.
+void with_every_zone_lost_further_forwards_need_tokens() {
+    Fleet fleet(96, 2);
+    fleet.deployment.nodes = 300;
+    fleet.deployment.most_forwards = 2;
+    fleet.start();
+    std::uint64_t key = 0;
+    const auto next = [&](Ending ending) {
+        fleet.now += 0.002;
+        const int inv = fleet.arrive(++key * 7919);
+        for (int n = 0; n < 2 && fleet.finals(inv) == 0; ++n) fleet.end(inv, n, ending, 0.001, ending == Ending::succeeded);
+    };
+    for (int n = 0; n < 20; ++n) next(Ending::succeeded);
+    for (int n = 0; n < 10; ++n) next(Ending::refused);
+    const std::size_t before = fleet.host.sent.size();
+    for (int n = 0; n < 40; ++n) next(Ending::refused);
+    const int further = static_cast<int>(fleet.host.sent.size() - before) - 40;
+    assert(further >= 0 && further <= 2 + 8);  // what is saved up, and a fifth of those that came
+}
+
 }  // namespace
 
 int main() {
+    with_every_zone_lost_further_forwards_need_tokens();
     a_lost_zone_is_passed_over_as_one();
     what_another_process_learned_holds_from_the_first_invocation();
     reads_are_turned_away_while_the_list_shows_all_crowded();
