What nodes tell one another: words, who is there, keepers and findings with an age

Change: src/fleet, without I/O. A node tells a subject's three keepers (rendezvous over who is there) what it saw itself; the newest by start and number is each node's one cell; a keeper finds a subject bad for a zone by voices of several nodes and by volume; findings go round with their age, and two keepers must agree. Bytes a second bounded by the price told. Nothing uses it yet.

--- /dev/null
+++ b/src/fleet/exchange.cpp
@@ -0,0 +1,472 @@
+#include "exchange.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <numeric>
+
+namespace brookrelay::fleet {
+namespace {
+
+constexpr std::size_t kKeepers = 3;      // a subject; two that agree are enough, so one may be dead or wrong
+constexpr std::size_t kKeepersHeard = 5; // whose findings count here: two nodes' views of who is there differ a little
+constexpr int kAgree = 2;
+constexpr int kVoicesLeast = 3;          // nodes of a zone that must find a subject bad before a keeper does,
+constexpr double kVoicesPart = 0.05;     // and of the zone's nodes
+constexpr double kVolume = 0.25;         // part of what a usual cache there ends, that must have ended badly
+constexpr double kBadTimes = 2.0;        // as many bad as good endings to find it bad; as many to let it go
+constexpr double kTellAgain = 1.0;       // s between one node's words on one subject
+constexpr double kGossipEvery = 1.0 / 3; // s, if bytes allow
+constexpr std::size_t kAliveMost = 12;   // a datagram
+constexpr int kSaidEnough = 6;           // times that a node passes on one finding: some log2(700) and a few lost
+constexpr int kNewsSaid = 3;             // and of these, those that do not wait for the next turn
+constexpr double kStall = 0.6;           // s without a turn: what was seen meanwhile is this node's own doing
+constexpr double kDoubt = 2.0;           // s after a stall in which it says nothing of others
+constexpr std::size_t kWayLeast = 4;     // subjects touched, from which
+constexpr double kWayPart = 0.5;         // of them bad lays it to this node's own way, or to all being full
+constexpr double kTrials = 2.0;          // a second, of one zone's nodes together, at a subject that is found bad
+constexpr double kTrialLeast = 0.5;
+constexpr double kBytesLeast = 64;       // a second: who hardly serves must still be known to be there
+constexpr double kPurse = 2.0;           // s of its bytes that a node may save up
+constexpr double kStrangerPart = 0.1;    // of gossip goes to nodes that seem gone, or a healed cut would stay
+constexpr std::size_t kSubjectsMost = 1024;
+constexpr int kCellMost = 8;             // bad endings of one node that count: none may shout
+constexpr double kLifeMost = 0x7fffffff * kTick;  // s, some 97 days
+constexpr double kLateCounted = 1.0;
+
+std::uint64_t mix(std::uint64_t x) {
+    x += 0x9e3779b97f4a7c15ULL;
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+std::uint32_t bit(int zone) { return 1U << std::clamp(zone, 0, kZonesMost - 1); }
+
+// What a node hears of others a second, when all say what they may: by it the times of Members are set.
+double entries_heard(const Terms& terms) {
+    return kAliveMost / kGossipEvery * std::min(1.0, terms.bytes_most / 1024);
+}
+
+}  // namespace
+
+Exchange::Exchange(const Terms& terms, std::uint32_t start, std::uint64_t seed, double now)
+    : terms_(terms),
+      start_(start),
+      began_(now),
+      chance_(static_cast<std::uint32_t>(mix(seed))),
+      members_(terms.node, std::max(1, terms.nodes), entries_heard(terms)),
+      ticked_(now),
+      filled_(now) {}
+
+// ---- what this node sees itself -------------------------------------------------------------------------
+
+// A process that stood still sees others' answers late and calls them slow: what it saw then is thrown away.
+bool Exchange::stalled(double now) {
+    const bool stood = now - ticked_ > kStall;
+    if (stood) {
+        own_.clear();
+        doubts_until_ = now + kDoubt;
+        ++counts_.stalls;
+    }
+    ticked_ = now;
+    return stood;
+}
+
+void Exchange::turn(Own& own, double now) const {
+    constexpr double width = kSightSpan / Own::kBuckets;
+    const auto bucket = static_cast<std::int64_t>(now / width);
+    const std::int64_t steps = std::min<std::int64_t>(bucket - own.turn, Own::kBuckets);
+    for (std::int64_t s = 1; s <= steps; ++s) {
+        const auto at = static_cast<std::size_t>((own.turn + s) % Own::kBuckets);
+        own.good[at] = own.bad[at] = 0;
+    }
+    if (steps >= Own::kBuckets) own.good.fill(0), own.bad.fill(0);
+    own.turn = std::max(own.turn, bucket);
+}
+
+int Exchange::sum(const std::array<int, Own::kBuckets>& buckets) {
+    return std::accumulate(buckets.begin(), buckets.end(), 0);
+}
+
+void Exchange::asked(double now) {
+    const auto second = static_cast<std::int64_t>(now);
+    for (std::int64_t s = std::max(arrivals_turn_ + 1, second - 7); s <= second; ++s) arrivals_[static_cast<std::size_t>(s % 8)] = 0;
+    arrivals_turn_ = std::max(arrivals_turn_, second);
+    ++arrivals_[static_cast<std::size_t>(second % 8)];
+}
+
+void Exchange::ended(double now, Subject subject, Seen seen) {
+    if (now - ticked_ > kStall || now < doubts_until_) return;  // the next tick says why
+    if (own_.size() >= kSubjectsMost && !own_.contains(subject)) return;
+    Own& own = own_[subject];
+    turn(own, now);
+    const auto at = static_cast<std::size_t>(own.turn % Own::kBuckets);
+    ++(seen == Seen::good ? own.good : own.bad)[at];
+    own.any = true;
+    own.news = own.news || seen == Seen::bad;
+}
+
+// Where most of what it touches is bad, the fault is its own way's, or all are full and none is worse.
+bool Exchange::own_way_bad(double now) {
+    std::size_t touched = 0, bad = 0;
+    for (auto at = own_.begin(); at != own_.end();) {
+        turn(at->second, now);
+        const int goods = sum(at->second.good), bads = sum(at->second.bad);
+        if (goods + bads == 0) {
+            at = own_.erase(at);
+            continue;
+        }
+        ++touched;
+        if (bads > goods) ++bad;
+        ++at;
+    }
+    return touched >= kWayLeast && static_cast<double>(bad) > kWayPart * static_cast<double>(touched);
+}
+
+// ---- what others say ------------------------------------------------------------------------------------
+
+void Exchange::received(double now, int from, std::string_view bytes) {
+    ++counts_.received;
+    if (from < 0 || from >= terms_.nodes || from == terms_.node) return void(++counts_.strangers);
+    Datagram d;
+    if (!decode(bytes, d) || d.node != from) return void(++counts_.unsound);
+    const Members::Heard heard = members_.heard(now, from, d.stamp, d.zone);
+    if (!heard.counts) return void(++counts_.dead_lives);
+    if (heard.late > kLateCounted) ++counts_.late;
+    if (heard.new_life) {
+        for (auto& [subject, kept] : kept_) kept.cells.erase(from);
+    }
+    // Somebody knows a later life of this node than this one: its clock was set back. It must outlive that.
+    if (d.start_of_yours > start_ && d.start_of_yours < UINT32_MAX - 1) start_ = d.start_of_yours + 1;
+    for (const Alive& a : d.alive) members_.told(now, a, heard.late);
+    for (const Sight& s : d.sights) take_sight(now, from, d.stamp, d.zone, s, heard.late);
+    for (const Finding& f : d.findings) take_finding(f, now - f.age - heard.late);
+}
+
+void Exchange::take_sight(double now, int from, const Stamp& stamp, int zone, const Sight& sight, double late) {
+    if (late > kSightKept || (kept_.size() >= kSubjectsMost && !kept_.contains(sight.subject))) return;
+    Cell& cell = kept_[sight.subject].cells[from];
+    if (stamp <= cell.stamp) return;  // older, or the same again
+    cell = {stamp, zone, sight.good, sight.bad, now - late};
+}
+
+void Exchange::take_finding(const Finding& finding, double born) {
+    if (finding.keeper >= terms_.nodes || finding.keeper == terms_.node) return;  // its own it knows
+    if (spread_.size() >= kSubjectsMost * kKeepersHeard) return;
+    const auto [at, fresh] = spread_.try_emplace({finding.subject, finding.keeper});
+    Spread& s = at->second;
+    if (!fresh && finding.stamp < s.finding.stamp) return;
+    if (!fresh && finding.stamp == s.finding.stamp) {
+        // By another way: the older account counts, since time on the way may go uncounted and is never made up.
+        s.born = std::min(s.born, born);
+        return;
+    }
+    if (fresh || s.finding.zones != finding.zones) s.said = 0;
+    s.finding = finding;
+    s.born = born;
+}
+
+// ---- keeping --------------------------------------------------------------------------------------------
+
+// By rendezvous: the same at all nodes that think the same of who is there, and little moved by one that goes.
+std::vector<int> Exchange::keepers(Subject subject, std::size_t most, double now) const {
+    std::vector<std::pair<std::uint64_t, int>> ranked;
+    for (const int n : members_.there(now)) ranked.emplace_back(mix(std::uint64_t{subject} << 20 ^ static_cast<std::uint64_t>(n)), n);
+    most = std::min(most, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(most), ranked.end());
+    std::vector<int> first;
+    for (std::size_t i = 0; i < most; ++i) first.push_back(ranked[i].second);
+    return first;
+}
+
+const std::vector<int>& Exchange::keepers_now(Subject subject, double now) {
+    auto& [when, who] = keepers_[subject];
+    if (who.empty() || now - when > kTellAgain) {
+        when = now;
+        who = keepers(subject, kKeepers, now);
+    }
+    return who;
+}
+
+int Exchange::voices_needed(int zone, double now) const {
+    int nodes = zone == terms_.zone ? 1 : 0;
+    for (int n = 0; n < members_.count(); ++n) {
+        if (n != terms_.node && members_.of(n).zone == zone && members_.there(n, now)) ++nodes;
+    }
+    // Zones are known only of those heard directly; unheard ones are taken to be spread evenly.
+    nodes = std::max(nodes, static_cast<int>(members_.there(now).size()) / std::max(1, terms_.zones));
+    const int part = static_cast<int>(std::ceil(kVoicesPart * nodes));
+    return std::max(part, std::min(kVoicesLeast, std::max(2, nodes - 1)));
+}
+
+// What the nodes of a zone together end at a usual cache of theirs in the span, by what this one ends itself.
+double Exchange::expected(double now) const {
+    const double nodes = static_cast<double>(members_.there(now).size()) / std::max(1, terms_.zones);
+    return rate(now) * kSightSpan * nodes / std::max(1, caches_);
+}
+
+void Exchange::judge(double now) {
+    for (auto at = kept_.begin(); at != kept_.end();) {
+        std::erase_if(at->second.cells, [now](const auto& entry) { return now - entry.second.born > kSightKept; });
+        judge(now, at->first, at->second);
+        const Kept& k = at->second;
+        const bool done = k.cells.empty() && k.zones == 0 && now - k.ended > kFindingKept;
+        at = done ? kept_.erase(at) : std::next(at);
+    }
+}
+
+bool Exchange::found_by_another(Subject subject, int zone, double now) const {
+    for (auto at = spread_.lower_bound({subject, -1}); at != spread_.end() && at->first.first == subject; ++at) {
+        const bool fresh = now - at->second.born <= kFindingKept;
+        if (fresh && at->first.second != terms_.node && (at->second.finding.zones & bit(zone)) != 0) return true;
+    }
+    return false;
+}
+
+void Exchange::judge(double now, Subject subject, Kept& kept) {
+    struct Sum {
+        int voices = 0, good = 0, bad = 0;
+    };
+    std::map<int, Sum> zones;
+    for (const auto& [node, cell] : kept.cells) {
+        Sum& sum = zones[cell.zone];
+        if (cell.bad > cell.good) ++sum.voices;
+        sum.good += std::min(cell.good, kCellMost);
+        sum.bad += std::min(cell.bad, kCellMost);
+    }
+    std::uint32_t found = 0;
+    kept.voices = 0;
+    for (const auto& [zone, sum] : zones) {
+        // Where another keeper has found it already, what this one is still told comes from few: two are enough.
+        const bool was = (kept.zones & bit(zone)) != 0;
+        const bool joins = !was && sum.voices >= kAgree && sum.bad >= kBadTimes * sum.good && found_by_another(subject, zone, now);
+        // Once it is left, hardly anyone asks there, and what counts is how those few fare.
+        const bool is = was || joins ? sum.bad > sum.good
+                            : sum.voices >= voices_needed(zone, now) && sum.bad >= kBadTimes * sum.good &&
+                                  sum.bad >= kVolume * expected(now);
+        if (!is) continue;
+        found |= bit(zone);
+        kept.voices += sum.voices;
+    }
+    const bool changed = found != kept.zones;
+    if (changed && found == 0) kept.ended = now;
+    kept.zones = found;
+    const bool speaks = found != 0 || now - kept.ended <= kFindingKept;
+    if (!speaks || (!changed && now - kept.stated < kTellAgain)) return;
+    kept.stated = now;
+    Spread& s = spread_[{subject, terms_.node}];
+    if (changed || s.finding.stamp.number == 0) s.said = 0;
+    const auto ticks = static_cast<std::uint32_t>((now - began_) / kTick) + 1;
+    s.finding = {subject, terms_.node, {start_, ticks}, found, kept.voices, 0};
+    s.born = now;
+}
+
+// Two of the subject's keepers must say so, and more than say otherwise: one alone may be wrong, or lie.
+bool Exchange::counts(Subject subject, double now) const {
+    int say = 0, deny = 0;
+    const std::vector<int> heard = keepers(subject, kKeepersHeard, now);
+    for (const int keeper : heard) {
+        const auto at = spread_.find({subject, keeper});
+        if (at == spread_.end() || now - at->second.born > kFindingKept) continue;
+        // What it found in an earlier life is void: nothing of that is kept there any more.
+        if (keeper != terms_.node && at->second.finding.stamp.start < members_.of(keeper).start) continue;
+        ++((at->second.finding.zones & bit(terms_.zone)) != 0 ? say : deny);
+    }
+    return say >= kAgree && say > deny;
+}
+
+std::vector<Exchange::Verdict> Exchange::verdicts(double now) {
+    std::vector<Verdict> all;
+    const double nodes = static_cast<double>(members_.there(now).size()) / std::max(1, terms_.zones);
+    Subject last = 0;
+    bool first = true;
+    for (const auto& [key, s] : spread_) {
+        if (!first && key.first == last) continue;
+        first = false;
+        last = key.first;
+        if (now < doubts_until_ || !counts(key.first, now)) continue;
+        Stand& stand = standing_[key.first];
+        if (stand.said < 0) stand.since = now;
+        stand.said = now;
+        all.push_back({key.first, true, std::max(kTrialLeast, nodes / kTrials)});
+    }
+    for (auto at = standing_.begin(); at != standing_.end();) {
+        if (at->second.said == now) {
+            ++at;
+            continue;
+        }
+        all.push_back({at->first, false, 0});
+        at = standing_.erase(at);
+    }
+    return all;
+}
+
+// ---- what this node says --------------------------------------------------------------------------------
+
+double Exchange::rate(double now) const {
+    // Whole seconds that are over; the one that runs is not, and what lies over eight back was used again.
+    const auto second = static_cast<std::int64_t>(now);
+    int sum = 0, seconds = 0;
+    for (std::int64_t s = std::max<std::int64_t>(second - 7, static_cast<std::int64_t>(began_)); s < second; ++s, ++seconds) {
+        if (s <= arrivals_turn_ && s > arrivals_turn_ - 8) sum += arrivals_[static_cast<std::size_t>(s % 8)];
+    }
+    return seconds == 0 ? 0 : static_cast<double>(sum) / seconds;
+}
+
+double Exchange::allowance(double now) const {
+    if (terms_.price <= 0) return terms_.bytes_most;
+    const double paid = terms_.price_part / terms_.price * 256 * rate(now);
+    return std::clamp(paid, std::min(kBytesLeast, terms_.bytes_most), terms_.bytes_most);
+}
+
+std::vector<Outgoing> Exchange::tick(double now) {
+    std::vector<Outgoing> out;
+    stalled(now);
+    if (now - began_ > kLifeMost) {  // the numbers would begin anew: a life of their own for them
+        ++start_;
+        began_ = now;
+        last_number_ = 0;
+    }
+    const double bytes = allowance(now);
+    // Half of the bytes is for sights, half for what goes round: neither may starve the other.
+    const double more = (now - filled_) * bytes / 2;
+    filled_ = now;
+    const double most = std::max(bytes / 2 * kPurse, static_cast<double>(kDatagramMost));
+    report_purse_ = std::min(report_purse_ + more, most);
+    gossip_purse_ = std::min(gossip_purse_ + more, most);
+    std::erase_if(spread_, [now](const auto& entry) { return now - entry.second.born > kFindingKept; });
+    std::erase_if(keepers_, [now](const auto& entry) { return now - entry.second.first > kOldest; });
+    if (terms_.nodes > 1) {
+        report(now, out);
+        judge(now);
+        gossip(now, out);
+    }
+    return out;
+}
+
+Datagram Exchange::headed(int to, double now) {
+    Datagram d;
+    d.node = terms_.node;
+    last_number_ = std::max(last_number_ + 1, static_cast<std::uint32_t>((now - began_) / kTick) + 1);
+    d.stamp = {start_, last_number_};
+    d.zone = terms_.zone;
+    d.start_of_yours = members_.of(to).start;
+    return d;
+}
+
+bool Exchange::send(int to, Datagram&& datagram, double& purse, std::vector<Outgoing>& out) {
+    std::string bytes = encode(datagram);
+    if (bytes.size() > kDatagramMost || purse < static_cast<double>(bytes.size())) return false;
+    purse -= static_cast<double>(bytes.size());
+    ++counts_.sent;
+    counts_.sent_bytes += bytes.size();
+    out.push_back({to, std::move(bytes)});
+    return true;
+}
+
+// To a subject's keepers, what this node saw go wrong; of what is found bad, or was lately, all that it sees: those
+// few trials are what it may be taken back by.
+void Exchange::report(double now, std::vector<Outgoing>& out) {
+    const bool muted = own_way_bad(now);
+    if (now < doubts_until_) return;
+    if (muted) return void(++counts_.muted);
+    std::map<int, std::vector<Subject>> to;
+    for (auto& [subject, own] : own_) {
+        if (now - own.told < kTellAgain || !own.any) continue;
+        const auto spoken = spread_.lower_bound({subject, -1});
+        const bool watched = spoken != spread_.end() && spoken->first.first == subject;
+        if (!own.news && !watched) continue;
+        for (const int keeper : keepers_now(subject, now)) to[keeper].push_back(subject);
+    }
+    std::map<Subject, bool> said;
+    for (const auto& [keeper, subjects] : to) {
+        // Some 13 bytes each, and a head of some 30: what does not fit waits for the next tick.
+        constexpr std::size_t kSightsMost = 16;
+        Datagram d = headed(keeper, now);
+        for (std::size_t i = 0; i < std::min(subjects.size(), kSightsMost); ++i) {
+            Own& own = own_[subjects[i]];
+            turn(own, now);
+            d.sights.push_back({subjects[i], sum(own.good), sum(own.bad)});
+        }
+        const std::vector<Sight> sights = d.sights;
+        if (keeper == terms_.node) {
+            for (const Sight& s : sights) take_sight(now, keeper, d.stamp, terms_.zone, s, 0);
+        } else if (!send(keeper, std::move(d), report_purse_, out)) {
+            continue;
+        }
+        for (const Sight& s : sights) said[s.subject] = true;
+    }
+    for (const auto& [subject, yes] : said) {
+        Own& own = own_[subject];
+        own.told = now;
+        own.news = own.any = false;
+    }
+}
+
+// To somebody drawn by chance: who is there, and findings, those that are news first. Everything that stands is said
+// again and again with its age, so a gap closes by itself, and whatever is not said again is gone by its bound.
+void Exchange::gossip(double now, std::vector<Outgoing>& out) {
+    // A finding that changed does not wait for its turn: it goes on at each step until it was passed on a few times.
+    const bool news = std::any_of(spread_.begin(), spread_.end(), [](const auto& entry) { return entry.second.said < kNewsSaid; });
+    if (!news && now - gossiped_ < kGossipEvery * (0.75 + 0.5 * draw())) return;
+    std::vector<int> others = members_.there(now);
+    std::erase(others, terms_.node);
+    int to = -1;
+    if (others.empty() || draw() < kStrangerPart) {
+        const int any = static_cast<int>(draw() * (terms_.nodes - 1));
+        to = any >= terms_.node ? any + 1 : any;
+    } else {
+        to = others[static_cast<std::size_t>(draw() * static_cast<double>(others.size()))];
+    }
+    Datagram d = headed(to, now);
+    d.alive = members_.freshest(now, kAliveMost);
+    std::vector<Spread*> findings;
+    for (auto& [key, s] : spread_) findings.push_back(&s);
+    std::sort(findings.begin(), findings.end(), [](const Spread* a, const Spread* b) {
+        const int x = std::min(a->said, kSaidEnough), y = std::min(b->said, kSaidEnough);
+        return x != y ? x < y : a->born > b->born;
+    });
+    constexpr std::size_t kEach = 22;  // bytes of a finding at the most, but for numbers that no fleet reaches
+    const std::size_t room = kDatagramMost - std::min(kDatagramMost, encode(d).size() + 4);
+    std::vector<Spread*> told;
+    for (Spread* s : findings) {
+        if ((told.size() + 1) * kEach > room) break;
+        Finding f = s->finding;
+        f.age = now - s->born;
+        d.findings.push_back(f);
+        told.push_back(s);
+    }
+    if (!send(to, std::move(d), gossip_purse_, out)) return;
+    gossiped_ = now;
+    for (Spread* s : told) ++s->said;
+}
+
+// ---- for operators --------------------------------------------------------------------------------------
+
+State Exchange::state(double now) const {
+    State s;
+    for (int n = 0; n < members_.count(); ++n) {
+        s.members.emplace_back(n, n == terms_.node ? Presence::fresh : members_.presence(n, now));
+        s.ages.push_back(n == terms_.node ? 0 : members_.age(n, now));
+        s.starts.push_back(n == terms_.node ? start_ : members_.of(n).start);
+    }
+    for (const auto& [subject, kept] : kept_) {
+        s.sights_kept += kept.cells.size();
+        for (const auto& [node, cell] : kept.cells) s.oldest_sight = std::max(s.oldest_sight, now - cell.born);
+    }
+    for (const auto& [key, spread] : spread_) {
+        if (s.verdicts.empty() || s.verdicts.back().subject != key.first) {
+            const auto stands = standing_.find(key.first);
+            s.verdicts.push_back({key.first, stands != standing_.end(),
+                                  stands == standing_.end() ? 0 : now - stands->second.since, {}});
+        }
+        s.verdicts.back().said.push_back({key.second, spread.finding.zones, spread.finding.voices, now - spread.born});
+    }
+    s.doubts_itself = now < doubts_until_;
+    s.bytes_a_second = allowance(now);
+    s.counts = counts_;
+    return s;
+}
+
+}  // namespace brookrelay::fleet
--- /dev/null
+++ b/tests/exchange_test.cpp
@@ -0,0 +1,519 @@
+// What nodes tell one another, without sockets: many nodes of one process on a network that is written here, which
+// loses, doubles, delays and cuts by a seed. Seeds and bounds are those that docs/fleet.md states.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "exchange.h"
+
+namespace brookrelay::fleet {
+namespace {
+
+struct Network {
+    double loss = 0, doubled = 0, quickest = 0.001, slowest = 0.03;
+    std::function<bool(int from, int to)> cut = [](int, int) { return false; };
+};
+
+// Nodes, subjects and how a forward to one ends; node n stands in zone n % zones.
+class World {
+  public:
+    World(int nodes, int zones, std::uint64_t seed, double bytes = 1024) : zones_(zones), chance_(seed) {
+        for (int n = 0; n < nodes; ++n) {
+            terms_.push_back({n, nodes, n % zones, zones, bytes, 0, 0.004});
+            starts_.push_back(1000);
+            start(n);
+        }
+    }
+    void start(int n) {
+        nodes_.resize(terms_.size());
+        nodes_[at(n)] = std::make_unique<Exchange>(terms_[at(n)], starts_[at(n)]++, chance_(), now_);
+        nodes_[at(n)]->caches(kCaches);
+        stands_[n].clear();
+    }
+    void stop(int n) { nodes_[at(n)].reset(); }
+    // For so long a second of ten endings at each node, each at a subject drawn by chance.
+    void run(double seconds) {
+        const double until = now_ + seconds;
+        while (now_ < until) {
+            now_ += Exchange::kStep;
+            for (auto in = flying_.begin(); in != flying_.end() && in->first <= now_; in = flying_.erase(in)) {
+                const auto& [from, to, bytes] = in->second;
+                if (nodes_[at(to)] != nullptr && !frozen.contains(to)) nodes_[at(to)]->received(now_, from, bytes);
+            }
+            for (int n = 0; n < count(); ++n) {
+                if (nodes_[at(n)] == nullptr || frozen.contains(n)) continue;
+                Exchange& e = *nodes_[at(n)];
+                for (int i = 0; i < 2; ++i) {
+                    if (unit() > rate * Exchange::kStep / 2) continue;
+                    e.asked(now_);
+                    const auto subject = static_cast<Subject>(unit() * kCaches) + 1;
+                    // Who has a verdict tries it seldom, as the module does.
+                    if (stands_[n].contains(subject) && unit() > 2.0 / (rate / kCaches * count() / zones_)) continue;
+                    e.ended(now_, subject, fate(n, subject) ? Seen::good : Seen::bad);
+                }
+                for (Outgoing& o : e.tick(now_)) send(n, o.to, std::move(o.bytes));
+                for (const Exchange::Verdict& v : e.verdicts(now_)) {
+                    if (v.bad) stands_[n].insert(v.subject);
+                    else stands_[n].erase(v.subject);
+                }
+            }
+        }
+    }
+    void send(int from, int to, std::string bytes) {
+        ++sent;
+        sent_bytes += bytes.size();
+        if (network.cut(from, to)) return;
+        for (int copies = unit() < network.doubled ? 2 : 1; copies > 0; --copies) {
+            if (unit() < network.loss) continue;
+            const double after = network.quickest + (network.slowest - network.quickest) * unit();
+            flying_.emplace(now_ + after, std::tuple{from, to, bytes});
+        }
+    }
+    // Part of the nodes that are up, and for which `of` holds, with a verdict on the subject.
+    double told(Subject subject, const std::function<bool(int)>& of = [](int) { return true; }) const {
+        int all = 0, those = 0;
+        for (int n = 0; n < count(); ++n) {
+            if (nodes_[at(n)] == nullptr || frozen.contains(n) || !of(n)) continue;
+            ++all;
+            those += stands_.at(n).contains(subject);
+        }
+        return all == 0 ? 0 : static_cast<double>(those) / all;
+    }
+    // Seconds until `done`, in steps; `most` if it never is.
+    double until(double most, const std::function<bool()>& done) {
+        const double from = now_;
+        while (now_ - from < most && !done()) run(Exchange::kStep);
+        return now_ - from;
+    }
+    Exchange& node(int n) { return *nodes_[at(n)]; }
+    int count() const { return static_cast<int>(nodes_.size()); }
+    double now() const { return now_; }
+    double unit() { return std::uniform_real_distribution<>(0, 1)(chance_); }
+    static std::size_t at(int n) { return static_cast<std::size_t>(n); }
+
+    static constexpr int kCaches = 12;
+    double rate = 10;  // endings a second at each node
+    Network network;
+    std::set<int> frozen;
+    std::function<bool(int node, Subject)> fate = [](int, Subject) { return true; };
+    std::uint64_t sent = 0, sent_bytes = 0;
+
+  private:
+    int zones_;
+    std::mt19937_64 chance_;
+    double now_ = 100;
+    std::vector<Terms> terms_;
+    std::vector<std::uint32_t> starts_;
+    std::vector<std::unique_ptr<Exchange>> nodes_;
+    std::map<int, std::set<Subject>> stands_;
+    std::multimap<double, std::tuple<int, int, std::string>> flying_;
+};
+
+constexpr Subject kSick = 5;
+bool sick(int, Subject s) { return s != kSick; }
+
+// ---- the words ------------------------------------------------------------------------------------------
+
+Datagram sample() {
+    Datagram d;
+    d.node = 299;
+    d.stamp = {1'800'000'000, 70000};
+    d.zone = 2;
+    d.start_of_yours = 1'700'000'000;
+    d.alive = {{7, 0.3}, {260, 100}};
+    d.sights = {{subject_of("a-1"), 3, 200}};
+    d.findings = {{subject_of("a-1"), 12, {1'800'000'000, 99}, 5, 9, 1.0}};
+    return d;
+}
+
+TEST(Words, ComeBackAsTheyWereSaid) {
+    Datagram d;
+    ASSERT_TRUE(decode(encode(sample()), d));
+    EXPECT_EQ(d.node, 299);
+    EXPECT_EQ(d.stamp, (Stamp{1'800'000'000, 70000}));
+    EXPECT_EQ(d.alive[0].age, 0.375) << "ages are never told shorter than they are";
+    EXPECT_EQ(d.alive[1].age, kAgeStepsMost * kAgeStep);
+    EXPECT_EQ(d.sights[0].bad, 127);
+    EXPECT_EQ(d.findings[0].zones, 5U);
+    EXPECT_EQ(d.findings[0].stamp.number, 99U);
+    EXPECT_LE(encode(sample()).size(), 80U);
+}
+
+TEST(Words, NothingButAWholeDatagramOfThisVersionIsTaken) {
+    const std::string sound = encode(sample());
+    Datagram d;
+    for (std::size_t cut = 0; cut < sound.size(); ++cut) EXPECT_FALSE(decode(sound.substr(0, cut), d));
+    EXPECT_FALSE(decode(sound + '\0', d));
+    EXPECT_FALSE(decode(std::string(kDatagramMost + 1, '\1'), d));
+    std::string other = sound;
+    other[1] = kVersion + 1;  // the first number of the list
+    EXPECT_FALSE(decode(other, d));
+    std::mt19937_64 chance(1);
+    int taken = 0;
+    for (int i = 0; i < 20000; ++i) {  // spoilt or made up: never a crash, and what is taken is within bounds
+        std::string bytes = sound;
+        const int flips = 1 + static_cast<int>(chance() % 4);
+        for (int f = 0; f < flips; ++f) bytes[chance() % bytes.size()] = static_cast<char>(chance());
+        if (!decode(bytes, d)) continue;
+        ++taken;
+        for (const Finding& f : d.findings) EXPECT_LE(f.age, kAgeStepsMost * kAgeStep);
+        EXPECT_LT(d.zone, kZonesMost);
+    }
+    EXPECT_LT(taken, 20000);
+}
+
+// ---- the merge ------------------------------------------------------------------------------------------
+
+std::string view(Exchange& e, double now) {
+    std::string text;
+    for (const Exchange::Verdict& v : e.verdicts(now)) text += std::to_string(v.subject) + (v.bad ? "!" : ".") + ' ';
+    const State s = e.state(now);
+    for (const Held& h : s.verdicts) {
+        for (const Voice& v : h.said) text += std::to_string(h.subject) + ':' + std::to_string(v.keeper) + ':' + std::to_string(v.zones) + ' ';
+    }
+    for (std::size_t n = 0; n < s.members.size(); ++n) {
+        text += std::to_string(static_cast<int>(s.members[n].second)) + '@' + std::to_string(s.starts[n]) + ' ';
+    }
+    return text + std::to_string(s.sights_kept);
+}
+
+TEST(Merge, AnyOrderLossMadeGoodAndDoublingGiveOneResult) {
+    std::mt19937_64 chance(7);
+    for (int round = 0; round < 3000; ++round) {
+        // What five nodes say of three subjects, in two lives of one of them.
+        struct Word {
+            int from;
+            std::string bytes;
+        };
+        std::vector<Word> words;
+        for (int n = 1; n <= 5; ++n) {
+            for (std::uint32_t i = 1; i <= 4; ++i) {
+                Datagram d;
+                d.node = n;
+                d.stamp = {n == 5 && i > 2 ? 11U : 10U, 100 + i};
+                d.alive = {{static_cast<int>(chance() % 7), 0.5}};
+                d.sights = {{static_cast<Subject>(chance() % 3), static_cast<int>(chance() % 2), static_cast<int>(chance() % 5)}};
+                d.findings = {{static_cast<Subject>(chance() % 3), static_cast<int>(chance() % 6),
+                               {10, static_cast<std::uint32_t>(chance() % 9)}, static_cast<std::uint32_t>(chance() % 2), 3, 0.25}};
+                // One stamp of one keeper says one thing.
+                d.findings[0].zones = (d.findings[0].stamp.number + d.findings[0].subject) % 2;
+                words.push_back({n, encode(d)});
+            }
+        }
+        const double now = 200;
+        std::string first;
+        for (int order = 0; order < 3; ++order) {
+            Exchange e({0, 7, 0, 1, 1024, 0, 0.004}, 10, 1, 190);
+            for (int n = 1; n <= 5; ++n) {  // each is known by one quick datagram before
+                Datagram hello;
+                hello.node = n;
+                hello.stamp = {n == 5 ? 11U : 10U, 1000};
+                e.received(now, n, encode(hello));
+            }
+            std::vector<Word> said = words;
+            for (const Word& w : words) {
+                if (chance() % 3 == 0) said.push_back(w);
+            }
+            std::shuffle(said.begin(), said.end(), chance);
+            for (const Word& w : said) e.received(now, w.from, w.bytes);
+            e.tick(now);
+            const std::string result = view(e, now);
+            if (order == 0) first = result;
+            ASSERT_EQ(result, first) << "round " << round;
+        }
+    }
+}
+
+// The sights of three nodes make this node, a keeper of the subject, find it bad; what each says by chance comes.
+struct Keeper {
+    Exchange e{{0, 4, 0, 1, 1024, 0, 0.004}, 10, 1, 100};
+    double now = 101;
+    void says(int node, Stamp stamp, int good, int bad) {
+        Datagram d;
+        d.node = node;
+        d.stamp = stamp;
+        d.sights = {{kSick, good, bad}};
+        e.received(now, node, encode(d));
+    }
+    std::uint32_t found() {
+        e.tick(now);
+        for (const Held& h : e.state(now).verdicts) {
+            for (const Voice& v : h.said) {
+                if (h.subject == kSick && v.keeper == 0) return v.zones;
+            }
+        }
+        return 0;
+    }
+};
+
+TEST(Merge, AnOlderWordNeverWins) {
+    Keeper k;
+    for (int n = 1; n <= 3; ++n) k.says(n, {10, 300}, 5, 0);
+    for (int n = 1; n <= 3; ++n) k.says(n, {10, 200}, 0, 5);  // late on its way
+    EXPECT_EQ(k.found(), 0U);
+    for (int n = 1; n <= 3; ++n) k.says(n, {10, 301}, 0, 5);
+    EXPECT_EQ(k.found(), 1U);
+}
+
+TEST(Merge, WordsSaidAgainAreNotSummed) {
+    Keeper k;
+    for (int n = 1; n <= 3; ++n) k.says(n, {10, 300}, 0, 1);
+    for (int n = 1; n <= 3; ++n) k.says(n, {10, 300}, 0, 1);
+    EXPECT_EQ(k.e.state(k.now).sights_kept, 3U);
+    for (int n = 1; n <= 3; ++n) k.says(n, {10, 301}, 2, 1);  // were they summed, it were two to two
+    EXPECT_EQ(k.found(), 0U);
+}
+
+TEST(Merge, WordsOfADeadLifeAreVoid) {
+    Keeper k;
+    for (int n = 1; n <= 3; ++n) k.says(n, {10, 300}, 0, 5);
+    k.says(3, {11, 1}, 0, 0);  // started anew, and has seen nothing
+    Datagram hello;
+    hello.node = 2;
+    hello.stamp = {11, 1};
+    k.e.received(k.now, 2, encode(hello));
+    EXPECT_EQ(k.found(), 0U) << "one voice is left of three";
+    k.says(2, {10, 301}, 0, 5);  // a dead life's, late on its way
+    EXPECT_EQ(k.e.state(k.now).counts.dead_lives, 1U);
+    EXPECT_EQ(k.found(), 0U);
+}
+
+TEST(Merge, AStartedNodeWhoseClockWasSetBackIsHeardAgain) {
+    World w(4, 1, 3);
+    w.run(3);
+    // Its new life is numbered under the old one.
+    Exchange back({1, 4, 0, 1, 1024, 0, 0.004}, 5, 9, w.now());
+    Datagram d;
+    d.node = 0;
+    d.stamp = {1000, 5000};
+    d.start_of_yours = 1000;
+    back.received(w.now(), 0, encode(d));
+    EXPECT_EQ(back.start(), 1001U);
+}
+
+TEST(Merge, AgesAddUpAndANodeThatStoodStillTakesNoOldNewsForNew) {
+    Exchange e({0, 3, 0, 1, 1024, 0, 0.004}, 10, 1, 100);
+    Datagram d;
+    d.node = 1;
+    d.stamp = {10, 256};
+    e.received(101, 1, encode(d));
+    // Written at the sender's second 2, read here nine seconds later: it lay in the socket meanwhile.
+    d.stamp = {10, 512};
+    d.alive = {{2, 0.5}};
+    d.findings = {{kSick, 1, {10, 500}, 1, 3, 0.25}};
+    e.received(111, 1, encode(d));
+    EXPECT_NEAR(e.state(111).ages[1], 9, 0.01);
+    EXPECT_NEAR(e.state(111).ages[2], 9.5, 0.01);
+    e.tick(111);
+    EXPECT_TRUE(e.state(111).verdicts.empty()) << "a finding of over nine seconds is past its bound";
+}
+
+// ---- many nodes -----------------------------------------------------------------------------------------
+
+struct Case {
+    const char* name;
+    int nodes;
+    double loss;
+    double bound;  // s until 99 of 100 of its nodes know
+};
+
+TEST(Fleet, KnowsABadCacheWithinItsBoundAndLetsGoOfItWithinAnother) {
+    const Case cases[] = {{"3 nodes", 3, 0, 8}, {"12 nodes", 12, 0, 8}, {"12 nodes, 3 in 10 lost", 12, 0.3, 10},
+                          {"40 nodes", 40, 0, 8}, {"40 nodes, 3 in 10 lost", 40, 0.3, 12}};
+    for (const Case& c : cases) {
+        std::vector<double> knew, let_go;
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            World w(c.nodes, 1, seed);
+            w.network.loss = w.network.doubled = c.loss;
+            w.run(4);
+            w.fate = sick;
+            knew.push_back(w.until(30, [&] { return w.told(kSick) >= 0.99; }));
+            w.run(3);
+            w.fate = [](int, Subject) { return true; };
+            let_go.push_back(w.until(40, [&] { return w.told(kSick) == 0; }));
+        }
+        std::sort(knew.begin(), knew.end());
+        std::sort(let_go.begin(), let_go.end());
+        std::printf("[ measured ] %-24s knew: median %.2f s, most %.2f s; let go: median %.2f s, most %.2f s\n", c.name, knew[10],
+                    knew.back(), let_go[10], let_go.back());
+        EXPECT_LE(knew.back(), c.bound) << c.name;
+        EXPECT_LE(let_go.back(), kOldest) << c.name;
+    }
+}
+
+TEST(Fleet, FindsNothingInCalmNorInFailuresByChance) {
+    World w(24, 1, 11);
+    std::mt19937_64 chance(5);
+    w.fate = [&](int, Subject) { return chance() % 20 != 0; };
+    int found = 0;
+    for (int i = 0; i < 60; ++i) {
+        w.run(1);
+        for (Subject s = 1; s <= World::kCaches; ++s) found += w.told(s) > 0;
+    }
+    EXPECT_EQ(found, 0);
+}
+
+TEST(Fleet, ACacheBadForOneZoneOnlyIsLeftByThatZoneAlone) {
+    World w(24, 3, 5);
+    w.run(4);
+    w.fate = [](int node, Subject s) { return s != kSick || node % 3 != 1; };
+    w.until(20, [&] { return w.told(kSick, [](int n) { return n % 3 == 1; }) >= 0.99; });
+    EXPECT_GE(w.told(kSick, [](int n) { return n % 3 == 1; }), 0.99);
+    w.run(5);
+    EXPECT_EQ(w.told(kSick, [](int n) { return n % 3 != 1; }), 0);
+}
+
+TEST(Fleet, ANodeThatLiesOrIsStarvedMovesNobody) {
+    for (const bool all_bad : {false, true}) {
+        World w(12, 1, 21);
+        w.fate = [all_bad](int node, Subject s) { return node != 4 || !(all_bad || s == kSick); };
+        double most = 0;
+        for (int i = 0; i < 40; ++i) {
+            w.run(0.5);
+            for (Subject s = 1; s <= World::kCaches; ++s) most = std::max(most, w.told(s));
+        }
+        EXPECT_EQ(most, 0) << (all_bad ? "calls all slow" : "calls one slow");
+    }
+}
+
+TEST(Fleet, ALyingKeeperAloneIsNotBelieved) {
+    World w(12, 1, 8);
+    w.run(4);
+    for (int i = 0; i < 40; ++i) {
+        for (int to = 0; to < 12; ++to) {
+            if (to == 4) continue;
+            Datagram d;
+            d.node = 4;
+            d.stamp = {1000, static_cast<std::uint32_t>((w.now() - 100) / kTick)};
+            for (Subject s = 1; s <= 6; ++s) d.findings.push_back({s, 4, d.stamp, 1, 99, 0});
+            w.send(4, to, encode(d));
+        }
+        w.run(0.25);
+        for (Subject s = 1; s <= World::kCaches; ++s) ASSERT_EQ(w.told(s), 0);
+    }
+}
+
+TEST(Fleet, TwoHalvesKnowEachTheirOwnAndAgreeAgainAfterTheCut) {
+    std::vector<double> agreed;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        World w(16, 1, seed);
+        w.run(4);
+        w.network.cut = [](int a, int b) { return a % 2 != b % 2; };
+        w.run(12);
+        EXPECT_EQ(w.node(0).state(w.now()).members[1].second, Presence::gone);
+        w.fate = [](int node, Subject s) { return s != kSick || node % 2 != 0; };  // the way of one half to it is cut too
+        w.until(20, [&] { return w.told(kSick, [](int n) { return n % 2 == 0; }) >= 0.99; });
+        EXPECT_GE(w.told(kSick, [](int n) { return n % 2 == 0; }), 0.99);
+        EXPECT_EQ(w.told(kSick, [](int n) { return n % 2 != 0; }), 0);
+        w.network.cut = [](int, int) { return false; };
+        w.fate = [](int, Subject) { return true; };
+        agreed.push_back(w.until(40, [&] {
+            if (w.told(kSick) > 0) return false;
+            for (int a = 0; a < 16; ++a) {
+                for (const auto& [n, presence] : w.node(a).state(w.now()).members) {
+                    if (presence == Presence::gone) return false;
+                }
+            }
+            return true;
+        }));
+    }
+    std::sort(agreed.begin(), agreed.end());
+    std::printf("[ measured ] after a cut: views agree again after %.2f s in the median, %.2f s at the most\n", agreed[10], agreed.back());
+    EXPECT_LE(agreed.back(), kOldest);
+}
+
+TEST(Fleet, SevenInTenKilledAndBackUnderTheirNumbersAreKnownAgain) {
+    World w(20, 1, 6);
+    w.run(5);
+    for (int n = 0; n < 14; ++n) w.stop(n);
+    w.fate = sick;
+    const double alone = w.until(30, [&] { return w.told(kSick) >= 0.99; });
+    EXPECT_LE(alone, 5 + 8) << "six are left, once those killed count as gone";
+    for (int n = 0; n < 14; ++n) w.start(n);
+    EXPECT_LE(w.until(30, [&] { return w.told(kSick) >= 0.99; }), 8);
+    w.until(30, [&] { return w.node(19).state(w.now()).starts[3] == 1001U; });
+    EXPECT_EQ(w.node(19).state(w.now()).starts[3], 1001U);
+}
+
+TEST(Fleet, AFrozenNodeActsOnNothingOldWhenItWakes) {
+    World w(12, 1, 2);
+    w.run(4);
+    w.fate = sick;
+    w.until(20, [&] { return w.told(kSick) >= 0.99; });
+    w.frozen = {3};
+    w.fate = [](int, Subject) { return true; };
+    w.run(10);
+    EXPECT_EQ(w.told(kSick), 0);
+    w.frozen = {};
+    w.run(Exchange::kStep);
+    EXPECT_EQ(w.told(kSick), 0) << "it woke with the verdict it slept in with";
+    EXPECT_TRUE(w.node(3).state(w.now()).doubts_itself);
+    w.run(3);
+    EXPECT_FALSE(w.node(3).state(w.now()).doubts_itself);
+    EXPECT_EQ(w.told(kSick), 0);
+}
+
+TEST(Fleet, OneWayLossStillReachesByOthers) {
+    World w(8, 1, 4);
+    w.network.cut = [](int from, int to) { return from == 0 && to == 1; };  // 1 hears 0 by others alone
+    w.run(10);
+    EXPECT_NE(w.node(1).state(w.now()).members[0].second, Presence::gone);
+}
+
+TEST(Fleet, WithAllWordsLostEachIsByItself) {
+    World w(12, 1, 9);
+    w.run(4);
+    w.fate = sick;
+    w.until(20, [&] { return w.told(kSick) >= 0.99; });
+    w.network.cut = [](int, int) { return true; };
+    w.run(kOldest);
+    EXPECT_EQ(w.told(kSick), 0);
+    for (int n = 0; n < 12; ++n) EXPECT_TRUE(w.node(n).verdicts(w.now()).empty());
+}
+
+TEST(Fleet, SendsNoMoreBytesThanItMay) {
+    World w(40, 1, 3, 300);
+    std::mt19937_64 chance(5);
+    w.fate = [&](int, Subject s) { return s > 4 || chance() % 2 == 0; };
+    w.run(5);
+    w.sent_bytes = 0;
+    w.run(20);
+    EXPECT_LE(static_cast<double>(w.sent_bytes) / 20 / 40, 300 * 1.05);
+    // By the price told: a part of G for 256 bytes a first try.
+    Exchange dear({0, 40, 0, 1, 1024, 0.01, 0.004}, 10, 1, 100);
+    double now = 100;
+    for (; now < 110; now += Exchange::kStep) {
+        if (static_cast<int>(now * 8) % 4 == 0) dear.asked(now);
+        dear.tick(now);
+    }
+    EXPECT_NEAR(dear.state(now).bytes_a_second, 0.4 * 256 * 2, 30);
+}
+
+TEST(Fleet, SevenHundredPeersFitInBoundedMemory) {
+    Exchange e({0, 700, 0, 3, 1024, 0, 0.004}, 10, 1, 100);
+    std::mt19937_64 chance(3);
+    for (int i = 0; i < 40000; ++i) {
+        Datagram d;
+        d.node = 1 + static_cast<int>(chance() % 699);
+        d.stamp = {10, static_cast<std::uint32_t>(i + 1)};
+        for (int s = 0; s < 5; ++s) d.sights.push_back({static_cast<Subject>(chance()), 0, 1});
+        for (int f = 0; f < 5; ++f) {
+            d.findings.push_back({static_cast<Subject>(chance()), static_cast<int>(chance() % 700), d.stamp, 1, 3, 0});
+        }
+        e.received(100.5, d.node, encode(d));
+    }
+    const State s = e.state(100.5);
+    EXPECT_LE(s.sights_kept, 40000U);
+    std::size_t held = 0;
+    for (const Held& h : s.verdicts) held += h.said.size();
+    EXPECT_LE(held, 5 * 1024U);
+}
+
+}  // namespace
+}  // namespace brookrelay::fleet
