--- a/src/config/scenario.cpp
+++ b/src/config/scenario.cpp
@@ -159,12 +159,14 @@
     for (const auto& [key, names] : {std::pair{"from", &trouble.from}, std::pair{"to", &trouble.to}}) {
         if (!links && !names->empty()) t.complain(key, std::string("'") + row.word + "' strikes no links");
         for (const std::string& name : *names) {
+            const std::vector<std::string> servers = s.server_names();
             if (is_node(name, s) || std::find(s.zones.begin(), s.zones.end(), name) != s.zones.end()) continue;
+            if (std::find(servers.begin(), servers.end(), name) != servers.end()) continue;
             const std::string meant = nearest(name, s.zones);
-            t.complain(key, "there is no zone and no node '" + name + "'" + (meant.empty() ? "" : "; did you mean '" + meant + "'?"));
+            t.complain(key, "there is no zone, node or server '" + name + "'" + (meant.empty() ? "" : "; did you mean '" + meant + "'?"));
         }
     }
-    if (links && trouble.from.empty()) t.complain("from", std::string("is missing; '") + row.word + "' needs zones or nodes");
+    if (links && trouble.from.empty()) t.complain("from", std::string("is missing; '") + row.word + "' needs zones, nodes or servers");
     for (const std::string& name : t.texts("nodes")) {
         if (row.who != Who::nodes) t.complain("nodes", std::string("'") + row.word + "' strikes no nodes together");
         if (is_node(name, s)) {
--- a/src/config/scenario.h
+++ b/src/config/scenario.h
@@ -90,7 +90,7 @@
     double part = 1;
     int count = 10;
     std::vector<int> nodes;         // where several are struck together; else `node`
-    std::vector<std::string> from, to;  // zones, or nodes as n0, n1 ...; `to` empty: everybody else
+    std::vector<std::string> from, to;  // zones, servers, or nodes as n0, n1 ...; `to` empty: everybody else
     bool one_way = false;
     double delay = 0;               // s
 };
--- a/src/fleet/exchange.cpp
+++ b/src/fleet/exchange.cpp
@@ -12,9 +12,12 @@
 constexpr std::size_t kKeepers = 3;      // a subject; two that agree are enough, so one may be dead or wrong
 constexpr std::size_t kKeepersHeard = 5; // whose findings count here: two nodes' views of who is there differ a little
 constexpr int kAgree = 2;
-constexpr int kVoicesLeast = 3;          // nodes of a zone that must find a subject bad before a keeper does,
-constexpr double kVoicesPart = 0.05;     // and of the zone's nodes
-constexpr double kVolume = 0.25;         // part of what a usual cache there ends, that must have ended badly
+constexpr int kVoicesLeast = 3;          // nodes that must find a subject bad before a keeper does, for a zone,
+constexpr double kVoicesPart = 0.05;     // and of the zone's nodes;
+constexpr int kVoicesHere = 2;           // where other zones' nodes say so too, of this zone's
+constexpr double kVolume = 0.25;         // part of what a usual cache there ends, that ended badly, to find it so at once;
+constexpr double kWatch = 1.0;           // s that it is watched where it is less: then all tell what they see there
+constexpr double kWatchKept = 3.0;       // s after its voices fell away that a watch ends
 constexpr double kBadTimes = 2.0;        // as many bad as good endings to find it bad; as many to let it go
 constexpr double kTellAgain = 1.0;       // s between one node's words on one subject
 constexpr double kGossipEvery = 1.0 / 3; // s, if bytes allow
@@ -189,39 +192,48 @@
 // ---- keeping --------------------------------------------------------------------------------------------
 
 // By rendezvous: the same at all nodes that think the same of who is there, and little moved by one that goes.
-std::vector<int> Exchange::keepers(Subject subject, std::size_t most, double now) const {
+std::vector<int> Exchange::keepers(Subject subject) const {
     std::vector<std::pair<std::uint64_t, int>> ranked;
-    for (const int n : members_.there(now)) ranked.emplace_back(mix(std::uint64_t{subject} << 20 ^ static_cast<std::uint64_t>(n)), n);
-    most = std::min(most, ranked.size());
+    ranked.reserve(there_.size());
+    for (const int n : there_) ranked.emplace_back(mix(std::uint64_t{subject} << 20 ^ static_cast<std::uint64_t>(n)), n);
+    const std::size_t most = std::min(kKeepersHeard, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(most), ranked.end());
     std::vector<int> first;
     for (std::size_t i = 0; i < most; ++i) first.push_back(ranked[i].second);
     return first;
 }
 
+// Ranked anew once a second: a node has some dozens of subjects to look at eight times as often.
 const std::vector<int>& Exchange::keepers_now(Subject subject, double now) {
     auto& [when, who] = keepers_[subject];
     if (who.empty() || now - when > kTellAgain) {
         when = now;
-        who = keepers(subject, kKeepers, now);
+        who = keepers(subject);
     }
     return who;
 }
 
-int Exchange::voices_needed(int zone, double now) const {
-    int nodes = zone == terms_.zone ? 1 : 0;
-    for (int n = 0; n < members_.count(); ++n) {
-        if (n != terms_.node && members_.of(n).zone == zone && members_.there(n, now)) ++nodes;
+// Once a step: all that follows in it asks for these again and again.
+void Exchange::look_who_is_there(double now) {
+    there_ = members_.there(now);
+    in_zone_.fill(0);
+    for (const int n : there_) {
+        const int zone = n == terms_.node ? terms_.zone : members_.of(n).zone;
+        if (zone >= 0) ++in_zone_[static_cast<std::size_t>(std::min(zone, kZonesMost - 1))];
     }
+}
+
+int Exchange::voices_needed(int zone) const {
     // Zones are known only of those heard directly; unheard ones are taken to be spread evenly.
-    nodes = std::max(nodes, static_cast<int>(members_.there(now).size()) / std::max(1, terms_.zones));
+    const int nodes = std::max(in_zone_[static_cast<std::size_t>(std::clamp(zone, 0, kZonesMost - 1))],
+                               static_cast<int>(there_.size()) / std::max(1, terms_.zones));
     const int part = static_cast<int>(std::ceil(kVoicesPart * nodes));
     return std::max(part, std::min(kVoicesLeast, std::max(2, nodes - 1)));
 }
 
 // What the nodes of a zone together end at a usual cache of theirs in the span, by what this one ends itself.
 double Exchange::expected(double now) const {
-    const double nodes = static_cast<double>(members_.there(now).size()) / std::max(1, terms_.zones);
+    const double nodes = static_cast<double>(there_.size()) / std::max(1, terms_.zones);
     return rate(now) * kSightSpan * nodes / std::max(1, caches_);
 }
 
@@ -230,7 +242,7 @@
         std::erase_if(at->second.cells, [now](const auto& entry) { return now - entry.second.born > kSightKept; });
         judge(now, at->first, at->second);
         const Kept& k = at->second;
-        const bool done = k.cells.empty() && k.zones == 0 && now - k.ended > kFindingKept;
+        const bool done = k.cells.empty() && k.zones == 0 && now - std::max(k.ended, k.suspected) > kFindingKept;
         at = done ? kept_.erase(at) : std::next(at);
     }
 }
@@ -258,6 +270,8 @@
     }
     std::uint32_t found = 0;
     kept.voices = 0;
+    int voices = 0;
+    for (const auto& [zone, sum] : zones) voices += sum.voices;
     for (auto& [zone, sum] : zones) {
         std::sort(sum.newest.begin(), sum.newest.end());
         if (sum.newest.size() > kNewest) sum.newest.resize(kNewest);
@@ -267,9 +281,14 @@
         const bool was = (kept.zones & bit(zone)) != 0;
         const bool joins = !was && sum.voices >= kAgree && sum.bad >= kBadTimes * sum.good && found_by_another(subject, zone, now);
         // Once it is left, hardly anyone asks there, and what counts is how those few fared last.
-        const bool is = was || joins ? stays
-                            : sum.voices >= voices_needed(zone, now) && sum.bad >= kBadTimes * sum.good &&
-                                  sum.bad >= kVolume * expected(now);
+        // Nobody tells of what goes well unless it is watched, and gates let little go to a cache that fails: so few
+        // bad endings may be chance among many good ones, or all that there is. Being watched tells which.
+        // Voices of all zones together are enough where two of this one are among them.
+        const bool bad = sum.voices >= kVoicesHere && voices >= voices_needed(zone) && sum.bad >= kBadTimes * sum.good;
+        if (bad && now - kept.suspected > kWatchKept) kept.watched_since = now;
+        if (bad) kept.suspected = now;
+        const bool sure = sum.bad >= kVolume * expected(now) || now - kept.watched_since >= kWatch;
+        const bool is = was || joins ? stays : bad && sure;
         if (!is) continue;
         found |= bit(zone);
         kept.voices += sum.voices;
@@ -277,7 +296,7 @@
     const bool changed = found != kept.zones;
     if (changed && found == 0) kept.ended = now;
     kept.zones = found;
-    const bool speaks = found != 0 || now - kept.ended <= kFindingKept;
+    const bool speaks = found != 0 || now - std::max(kept.ended, kept.suspected + kWatchKept - kFindingKept) <= kFindingKept;
     if (!speaks || (!changed && now - kept.stated < kTellAgain)) return;
     kept.stated = now;
     Spread& s = spread_[{subject, terms_.node}];
@@ -288,10 +307,9 @@
 }
 
 // Two of the subject's keepers must say so, and more than say otherwise: one alone may be wrong, or lie.
-bool Exchange::counts(Subject subject, double now) const {
+bool Exchange::counts(Subject subject, double now) {
     int say = 0, deny = 0;
-    const std::vector<int> heard = keepers(subject, kKeepersHeard, now);
-    for (const int keeper : heard) {
+    for (const int keeper : keepers_now(subject, now)) {
         const auto at = spread_.find({subject, keeper});
         if (at == spread_.end() || now - at->second.born > kFindingKept) continue;
         // What it found in an earlier life is void: nothing of that is kept there any more.
@@ -303,7 +321,7 @@
 
 std::vector<Exchange::Verdict> Exchange::verdicts(double now) {
     std::vector<Verdict> all;
-    const double nodes = static_cast<double>(members_.there(now).size()) / std::max(1, terms_.zones);
+    const double nodes = static_cast<double>(there_.size()) / std::max(1, terms_.zones);
     Subject last = 0;
     bool first = true;
     for (const auto& [key, s] : spread_) {
@@ -348,6 +366,7 @@
 std::vector<Outgoing> Exchange::tick(double now) {
     std::vector<Outgoing> out;
     stalled(now);
+    look_who_is_there(now);
     if (now - began_ > kLifeMost) {  // the numbers would begin anew: a life of their own for them
         ++start_;
         began_ = now;
@@ -402,7 +421,8 @@
         const auto spoken = spread_.lower_bound({subject, -1});
         const bool watched = spoken != spread_.end() && spoken->first.first == subject;
         if (!own.news && !watched) continue;
-        for (const int keeper : keepers_now(subject, now)) to[keeper].push_back(subject);
+        const std::vector<int>& heard = keepers_now(subject, now);
+        for (std::size_t k = 0; k < std::min(kKeepers, heard.size()); ++k) to[heard[k]].push_back(subject);
     }
     std::map<Subject, bool> said;
     for (const auto& [keeper, subjects] : to) {
@@ -435,7 +455,7 @@
     // A finding that changed does not wait for its turn: it goes on at each step until it was passed on a few times.
     const bool news = std::any_of(spread_.begin(), spread_.end(), [](const auto& entry) { return entry.second.said < kNewsSaid; });
     if (!news && now - gossiped_ < kGossipEvery * (0.75 + 0.5 * draw())) return;
-    std::vector<int> others = members_.there(now);
+    std::vector<int> others = there_;
     std::erase(others, terms_.node);
     int to = -1;
     if (others.empty() || draw() < kStrangerPart) {
--- a/src/fleet/exchange.h
+++ b/src/fleet/exchange.h
@@ -123,6 +123,7 @@
         int voices = 0;
         double stated = -1e9;
         double ended = -1e9;  // when it was last found well again
+        double suspected = -1e9, watched_since = -1e9;
     };
     struct Spread {  // a keeper's finding as it goes round
         Finding finding;
@@ -143,11 +144,12 @@
     void judge(double now);
     void judge(double now, Subject subject, Kept& kept);
     bool found_by_another(Subject subject, int zone, double now) const;
-    int voices_needed(int zone, double now) const;
+    void look_who_is_there(double now);
+    int voices_needed(int zone) const;
     double expected(double now) const;
-    std::vector<int> keepers(Subject subject, std::size_t most, double now) const;
+    std::vector<int> keepers(Subject subject) const;
     const std::vector<int>& keepers_now(Subject subject, double now);
-    bool counts(Subject subject, double now) const;
+    bool counts(Subject subject, double now);
     void report(double now, std::vector<Outgoing>& out);
     void gossip(double now, std::vector<Outgoing>& out);
     Datagram headed(int to, double now);
@@ -162,6 +164,8 @@
     std::uint32_t last_number_ = 0;
     std::ranlux24_base chance_;
     Members members_;
+    std::vector<int> there_;  // as of this step, this node among them
+    std::array<int, kZonesMost> in_zone_{};
     std::map<Subject, Own> own_;
     std::map<Subject, Kept> kept_;
     std::map<std::pair<Subject, int>, Spread> spread_;
--- a/src/kit/links.cpp
+++ b/src/kit/links.cpp
@@ -17,11 +17,18 @@
     return probe.local_endpoint();
 }
 
+// An address of the relays' own: they are many, and must not take a port that a node has been told.
+std::string beside(const std::string& host) {
+    const std::size_t from = host.find('.') + 1, until = host.find('.', from);
+    return "127." + std::to_string(std::stoi(host.substr(from, until - from)) + 64) + host.substr(until);
+}
+
 }  // namespace
 
-Links::Links(World& world, std::uint64_t seed, bool servers_too) : world_(world), chance_(seed), servers_too_(servers_too) {
+Links::Links(World& world, std::uint64_t seed, bool servers_too)
+    : world_(world), host_(beside(world.host)), chance_(seed), servers_too_(servers_too) {
     for (int n = 0; n < world.scenario.nodes; ++n) {
-        relays_.push_back(std::make_unique<Relay>(world.io, world.host));
+        relays_.push_back(std::make_unique<Relay>(world.io, host_));
         Relay& r = *relays_.back();
         r.node = free_place(world.io, world.host);
         senders_[r.node] = n;
@@ -42,9 +49,12 @@
 Links::Side Links::side(const std::vector<std::string>& names) const {
     const Scenario& s = world_.scenario;
     const int zones = static_cast<int>(s.zones.size());
-    const int servers = static_cast<int>(s.server_names().size());
+    const std::vector<std::string> named = s.server_names();
+    const int servers = static_cast<int>(named.size());
     Side side;
     for (const std::string& name : names) {
+        const auto server = std::find(named.begin(), named.end(), name);
+        if (server != named.end()) side.servers.insert(static_cast<int>(server - named.begin()));
         const auto zone = std::find(s.zones.begin(), s.zones.end(), name);
         for (int n = 0; n < s.nodes; ++n) {
             if (zone != s.zones.end() ? n % zones == zone - s.zones.begin() : name == "n" + std::to_string(n)) side.nodes.insert(n);
@@ -145,7 +155,7 @@
         way->node = node;
         way->server = server;
         Way& w = *way;
-        w.listener = std::make_unique<Listener>(world_.io, world_.host, [this, &w](Tcp::socket s) { accept(w, std::move(s)); });
+        w.listener = std::make_unique<Listener>(world_.io, host_, [this, &w](Tcp::socket s) { accept(w, std::move(s)); });
     }
     way->real = address;
     return way->listener->address();
--- a/src/kit/links.h
+++ b/src/kit/links.h
@@ -76,6 +76,7 @@
     bool chance(double part) { return static_cast<double>(chance_() >> 11) < part * 9007199254740992.0; }
 
     World& world_;
+    const std::string host_;
     boost::random::mt19937_64 chance_;
     const bool servers_too_;
     std::vector<std::unique_ptr<Relay>> relays_;
--- a/src/kit/rehearsal.cpp
+++ b/src/kit/rehearsal.cpp
@@ -102,6 +102,7 @@
     void ask_for_view(int node);
     void take_view(int node, double asked, std::string_view said);
     void place_node(int node, unsigned short port);
+    void place_management(int node);
     void start_node(int node);
     void ask_whether_ready(int node, double until);
     void ready(int node);
@@ -190,6 +191,17 @@
     crowd_->node_at(node, {boost::asio::ip::make_address(world_.host), port});
 }
 
+// Apart from all that the day's nodes are told already: a port that is free now is not held until its node starts.
+void Day::place_management(int node) {
+    if (!scenario_.talk) return;
+    std::string address;
+    const auto taken = [&](const Node& n) { return n.listen == address || n.talk.management == address; };
+    do {
+        address = world_.host + ":" + std::to_string(free_port(io_, world_.host));
+    } while (std::any_of(nodes_.begin(), nodes_.end(), taken));
+    nodes_[index(node)].talk.management = address;
+}
+
 std::string Day::configuration(int node, std::uint64_t seed) const {
     const Node& n = nodes_[index(node)];
     return station_json(scenario_, node, n.listen, discovery_->agent(node), discovery_->whole_list(node), seed, n.talk);
@@ -216,6 +228,7 @@
         // Between the look for a free port and the daemon's own start somebody else may have taken it.
         if (n.daemon->exit_code() == kCannotListen && n.starts < kStartsMost) {
             place_node(node, free_port(io_, world_.host));
+            place_management(node);
             return start_node(node);
         }
         return fail("the daemon ended at its start with exit code " + std::to_string(n.daemon->exit_code()) + "; see " +
@@ -262,6 +275,11 @@
 }
 
 void Day::begin() {
+    if (plan_.begun) {
+        std::vector<std::string> all;
+        for (const Node& n : nodes_) all.push_back(n.talk.listen);
+        plan_.begun(all);
+    }
     crowd_->begin();
     for (const Trouble& t : scenario_.troubles) world_.at(begun_ + t.at, [this, &t] { bring_about(t); });
     forwards_before_.assign(caches_.size() + 1, 0);
@@ -629,8 +647,8 @@
         Daemon::Place place{plan_.program, plan_.folder, "n" + std::to_string(n), -1};
         if (scenario_.talk) {
             place.arguments = {"serve", "--operator", operator_file};
-            nodes_[index(n)].talk = {links_->peer_listen(n), world_.host + ":" + std::to_string(free_port(io_, world_.host)),
-                                     links_->peers()};
+            nodes_[index(n)].talk = {links_->peer_listen(n), {}, links_->peers()};
+            place_management(n);
         }
         nodes_[index(n)].daemon = std::make_unique<Daemon>(std::move(place));
         place_node(n, n == 0 && plan_.first_port != 0 ? plan_.first_port : free_port(io_, world_.host));
--- a/src/kit/rehearsal.h
+++ b/src/kit/rehearsal.h
@@ -23,6 +23,7 @@
     unsigned short first_port = 0;  // the first that node 0 is told to listen on; 0: any that is free
     std::function<void(double now, const std::string& line)> progress;  // about once a second; may be empty
     std::function<bool()> interrupted;                                  // may be empty
+    std::function<void(const std::vector<std::string>& peer_listens)> begun;  // may be empty: where nodes that talk listen
 };
 
 // What was seen, second by second, for pictures.
