--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -282,6 +282,15 @@
     EXPECT_EQ(k.found(), 0U);
 }
 
+TEST(Merge, TwoVoicesOfFourNodesAreNotEnoughHoweverLoud) {
+    Keeper k;
+    k.says(3, {10, 200}, 1, 0);  // is there too, and sees nothing wrong
+    for (int n = 1; n <= 2; ++n) k.says(n, {10, 300}, 0, 100);
+    EXPECT_EQ(k.found(), 0U);
+    k.says(3, {10, 300}, 0, 1);
+    EXPECT_EQ(k.found(), 1U);
+}
+
 TEST(Merge, WordsOfADeadLifeAreVoid) {
     Keeper k;
     for (int n = 1; n <= 3; ++n) k.says(n, {10, 300}, 0, 5);
@@ -403,6 +412,27 @@
     }
 }
 
+// Where most of what a node touches is bad, it is its own way, or all are full: it says nothing of it.
+TEST(Fleet, ANodeWhoseOwnWayIsBadSaysNothing) {
+    for (const int bad : {1, 3, 4, 6}) {
+        Exchange e({0, 4, 0, 1, 1024, 0, 0.004}, 10, 1, 100);
+        for (int n = 1; n <= 3; ++n) {
+            Datagram hello;
+            hello.node = n;
+            hello.stamp = {10, 256};
+            e.received(100.1, n, encode(hello));
+        }
+        for (int s = 1; s <= 6; ++s) e.ended(100.1, static_cast<Subject>(s), s <= bad ? Seen::bad : Seen::good);
+        std::size_t sights = 0;
+        for (const Outgoing& o : e.tick(100.125)) {
+            Datagram d;
+            ASSERT_TRUE(decode(o.bytes, d));
+            sights += d.sights.size();
+        }
+        EXPECT_EQ(sights > 0, bad <= 3) << bad;
+    }
+}
+
 TEST(Fleet, ALyingKeeperAloneIsNotBelieved) {
     World w(12, 1, 8);
     w.run(4);
--- a/tests/planted.sh
+++ b/tests/planted.sh
@@ -18,9 +18,10 @@
 'members.cpp~h.late = behind - m.least;~h.late = 0;~Merge.AgesAddUpAndANodeThatStoodStillTakesNoOldNewsForNew'
 'exchange.cpp~s.born = std::min(s.born, born);~s.born = born;~Merge.AnyOrderLossMadeGoodAndDoublingGiveOneResult'
 'exchange.cpp~constexpr int kAgree = 2;~constexpr int kAgree = 1;~Fleet.ALyingKeeperAloneIsNotBelieved'
-'exchange.cpp~return std::max(part, std::min(kVoicesLeast, std::max(2, nodes - 1)));~return 1;~Fleet.ANodeThatLiesOrIsStarvedMovesNobody'
+'exchange.cpp~return std::max(part, std::min(kVoicesLeast, std::max(2, nodes - 1)));~return 1;~Merge.TwoVoicesOfFourNodesAreNotEnoughHoweverLoud'
 'exchange.cpp~doubts_until_ = now + kDoubt;~(void)0;~Fleet.AFrozenNodeActsOnNothingOldWhenItWakes'
 'exchange.cpp~|| now - kept.watched_since >= kWatch;~;~Fleet.FindsABadCacheThatGatesLetLittleTo'
+'exchange.cpp~return touched >= kWayLeast && static_cast<double>(bad) > kWayPart * static_cast<double>(touched);~return false;~Fleet.ANodeWhoseOwnWayIsBadSaysNothing'
 'exchange.cpp~found |= bit(zone);~found |= 0xffU;~Fleet.ACacheBadForOneZoneOnlyIsLeftByThatZoneAlone'
 'exchange.cpp~if (!fresh && finding.stamp < s.finding.stamp) return;~(void)0;~Merge.AnyOrderLossMadeGoodAndDoublingGiveOneResult'
 )
