--- a/src/fleet/exchange.cpp
+++ b/src/fleet/exchange.cpp
@@ -175,7 +175,7 @@
 
 void Exchange::take_finding(const Finding& finding, double born) {
     if (finding.keeper >= terms_.nodes || finding.keeper == terms_.node) return;  // its own it knows
-    if (spread_.size() >= kSubjectsMost * kKeepersHeard) return;
+    if (spread_.size() >= kSubjectsMost * kKeepersHeard && !spread_.contains({finding.subject, finding.keeper})) return;
     const auto [at, fresh] = spread_.try_emplace({finding.subject, finding.keeper});
     Spread& s = at->second;
     if (!fresh && finding.stamp < s.finding.stamp) return;
@@ -273,6 +273,7 @@
     int voices = 0;
     for (const auto& [zone, sum] : zones) voices += sum.voices;
     for (auto& [zone, sum] : zones) {
+        // Once it is left, hardly anyone asks there, and what counts is how those few fared last.
         std::sort(sum.newest.begin(), sum.newest.end());
         if (sum.newest.size() > kNewest) sum.newest.resize(kNewest);
         const auto still = std::count_if(sum.newest.begin(), sum.newest.end(), [](const auto& word) { return word.second; });
@@ -280,7 +281,6 @@
         // Where another keeper has found it already, what this one is still told comes from few: two are enough.
         const bool was = (kept.zones & bit(zone)) != 0;
         const bool joins = !was && sum.voices >= kAgree && sum.bad >= kBadTimes * sum.good && found_by_another(subject, zone, now);
-        // Once it is left, hardly anyone asks there, and what counts is how those few fared last.
         // Nobody tells of what goes well unless it is watched, and gates let little go to a cache that fails: so few
         // bad endings may be chance among many good ones, or all that there is. Being watched tells which.
         // Voices of all zones together are enough where two of this one are among them.
@@ -468,23 +468,21 @@
     d.alive = members_.freshest(now, kAliveMost);
     std::vector<Spread*> findings;
     for (auto& [key, s] : spread_) findings.push_back(&s);
-    std::sort(findings.begin(), findings.end(), [](const Spread* a, const Spread* b) {
+    constexpr std::size_t kEach = 22;  // bytes of a finding at the most, but for numbers that no fleet reaches
+    const std::size_t room = (kDatagramMost - std::min(kDatagramMost, encode(d).size() + 4)) / kEach;
+    const auto first = findings.begin() + static_cast<std::ptrdiff_t>(std::min(room, findings.size()));
+    std::partial_sort(findings.begin(), first, findings.end(), [](const Spread* a, const Spread* b) {
         const int x = std::min(a->said, kSaidEnough), y = std::min(b->said, kSaidEnough);
         return x != y ? x < y : a->born > b->born;
     });
-    constexpr std::size_t kEach = 22;  // bytes of a finding at the most, but for numbers that no fleet reaches
-    const std::size_t room = kDatagramMost - std::min(kDatagramMost, encode(d).size() + 4);
-    std::vector<Spread*> told;
-    for (Spread* s : findings) {
-        if ((told.size() + 1) * kEach > room) break;
-        Finding f = s->finding;
-        f.age = now - s->born;
-        d.findings.push_back(f);
-        told.push_back(s);
+    findings.erase(first, findings.end());
+    for (const Spread* s : findings) {
+        d.findings.push_back(s->finding);
+        d.findings.back().age = now - s->born;
     }
     if (!send(to, std::move(d), gossip_purse_, out)) return;
     gossiped_ = now;
-    for (Spread* s : told) ++s->said;
+    for (Spread* s : findings) ++s->said;
 }
 
 // ---- for operators --------------------------------------------------------------------------------------
