--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -383,9 +383,26 @@
     assert(most < 40);
 }
 
+// A command that lay in the socket of a stopped process is past its time when it is read: answered at once, and
+// nothing is sent for it. One whose client still waits is served.
+void what_came_while_the_process_stood_still_is_as_old() {
+    Fleet fleet(2);
+    Line lapsed(own_loopback(), fleet.port()), waits(own_loopback(), fleet.port());
+    assert(fleet.ask(read_of("a", "1")).starts_with("VA 5 O1"));
+    fleet.signal(SIGSTOP);
+    lapsed.send(read_of("b", "2", 500));
+    waits.send(read_of("c", "3", 10000));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+    fleet.signal(SIGCONT);
+    assert(lapsed.until("\r\n").starts_with("SERVER_ERROR busy"));
+    assert(waits.until("\r\n").starts_with("VA 5 O3"));
+    assert(fleet.logged("stood still for"));
+}
+
 }  // namespace
 
 int main() {
+    what_came_while_the_process_stood_still_is_as_old();
     operators_calls_and_what_is_none();
     who_finishes_no_call_holds_up_nobody();
     a_new_process_takes_the_place_of_the_old_one();
