Parts of the fleet's limits are lent from node to node: the origin's strict, tenants' open

Cause: each limit of the whole fleet was divided by the number of nodes told at the start.

Change: src/fleet/fleet_limits, I/O-free: each node owns an even part in whole crumbs and lends what it does not need for 3 s. A lease runs for the taker from when it asked and for the lender from when it gave, each by its own monotonic clock, so parts in force never add up to more than the whole whatever is lost, late, doubled, dead, frozen or cut. A new life uses a sixteenth until its earlier one's leases have lapsed. [fleet.limits] origin (strict, declined in the node as not sent) and tenants (open: the larger of the node's guess and its part; door tenant_part). `fleet limits`. Scenario keys nodes, then, moves of a tenant, talk_tenants, talk_origin.

--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -90,6 +90,19 @@
     }
 }
 
+void print_limits(const rapidjson::Value& s) {
+    const auto real = [](const rapidjson::Value& o, const char* key) { return number(o, key, 0); };
+    if (need_list(s, "limits").Empty()) std::printf("no limit of the whole fleet: [fleet.limits] in the operators' file\n");
+    for (const rapidjson::Value& l : need_list(s, "limits").GetArray()) {
+        const std::string kind(text(need(l, "kind"), "kind"));
+        std::printf("%-24s %s  %.4g a second in all; here %.4f of it: own %.4f, borrowed %.4f from %.0f nodes (lent %.4f to %.0f), needs %.4f",
+                    std::string(text(need(l, "limit"), "limit")).c_str(), kind.c_str(), real(l, "a_second"), real(l, "part"), real(l, "own"),
+                    real(l, "borrowed"), real(l, "lenders"), real(l, "lent"), real(l, "takers"), real(l, "need"));
+        if (kind == "strict") std::printf("; declined %.0f forwards", real(l, "refused"));
+        std::printf("\n");
+    }
+}
+
 int show(const FleetWish& wish, void (*printed)(const rapidjson::Value&)) {
     int status = 0;
     std::string why;
@@ -121,6 +134,8 @@
 
 int fleet_status(const FleetWish& wish) { return sound(wish) ? show(wish, print) : kWrongUse; }
 
+int fleet_limits(const FleetWish& wish) { return sound(wish) ? show(wish, print_limits) : kWrongUse; }
+
 int fleet_zones(const FleetWish& wish) {
     if (!sound(wish)) return kWrongUse;
     const bool leave = !wish.leave.empty();
--- a/src/cli/fleet.h
+++ b/src/cli/fleet.h
@@ -14,5 +14,6 @@
 
 int fleet_status(const FleetWish& wish);
 int fleet_zones(const FleetWish& wish);
+int fleet_limits(const FleetWish& wish);
 
 }  // namespace brookrelay
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -45,6 +45,11 @@
                     if (!placed.insert(zone).second) fleet.complain("regions", "zone '" + zone + "' stands in two of them");
                 }
             }
+            fleet.table("limits", [&](TomlFile::Table& limits) {
+                o.fleet_tenants = limits.flag("tenants", o.fleet_tenants);
+                o.fleet_origin = limits.number("origin", o.fleet_origin, 1, 1e6);
+                if (!o.fleet_talk && (limits.has("tenants") || limits.has("origin"))) limits.complain(limits.has("tenants") ? "tenants" : "origin", "limits are said without fleet.talk = true, and would do nothing");
+            });
             o.fleet_bytes_a_second = fleet.number("bytes_a_second", o.fleet_bytes_a_second, 256, 1e6);
             o.fleet_price_part = fleet.number("price_part", o.fleet_price_part, 0, 1);
             if (!o.fleet_talk && fleet.has("verdicts")) fleet.complain("verdicts", "is said without talk = true, and would do nothing");
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -19,6 +19,9 @@
     bool fleet_verdicts = true;        // whether what the fleet finds reaches the decisions; false: it is only shown
     bool fleet_zones = true;           // whether nodes leave a zone that is lost together, and take it back so
     std::vector<std::vector<std::string>> fleet_regions;  // zones that may be lost together, by name
+    // Limits of the whole fleet, of which nodes lend one another what they do not need: docs/limits.md.
+    bool fleet_tenants = false;        // tenants' shares follow the demand
+    double fleet_origin = 0;           // forwards a second to the origin of all nodes together; 0: as each learns alone
     double fleet_bytes_a_second = 1024;
     double fleet_price_part = 0.004;   // of the billed value that words may cost, where the settings tell a price
 };
--- a/src/config/scenario.cpp
+++ b/src/config/scenario.cpp
@@ -84,6 +84,8 @@
     s.connection_idle = t.duration("connection_idle", s.connection_idle, 0.1, kHour);
     s.talk = t.flag("talk", s.talk);
     s.talk_bytes = t.number("talk_bytes", s.talk_bytes, 256, 1e6);
+    s.talk_tenants = t.flag("talk_tenants", s.talk_tenants);
+    s.talk_origin = t.number("talk_origin", s.talk_origin, 0, 1e6);
     s.talk_zones = t.flag("talk_zones", s.talk_zones);
 }
 
@@ -324,7 +326,15 @@
         root.table("guarantees", [&](Table& t) { read_guarantees(t, s); });
         root.each("operation", [&](Table& t) { read_operation(t, s); });
         root.each("tenant", [&](Table& t) {
-            s.tenants.push_back({t.needed_text("name"), t.number("share", 1, 0, 1e6), t.number("quota", 0, 0, 1e9)});
+            TenantPlan& one = s.tenants.emplace_back(TenantPlan{t.needed_text("name"), t.number("share", 1, 0, 1e6), t.number("quota", 0, 0, 1e9)});
+            one.nodes = t.texts("nodes");
+            one.then = t.texts("then");
+            one.moves = t.duration("moves", 0, 0, 1e6);
+            for (const char* key : {"nodes", "then"}) {
+                for (const std::string& name : key[0] == 'n' ? one.nodes : one.then) {
+                    if (!is_node(name, s)) t.complain(key, "there is no node '" + name + "'");
+                }
+            }
         });
         root.table("clients", [&](Table& t) { read_clients(t, s.clients); });
         root.table("keys", [&](Table& t) { read_keys(t, s.keys); });
--- a/src/config/scenario.h
+++ b/src/config/scenario.h
@@ -53,6 +53,8 @@
     std::string name;
     double share = 1;
     double quota = 0;
+    std::vector<std::string> nodes = {}, then = {};  // where its clients come, and from `moves` on; empty: anywhere
+    double moves = 0;
 };
 
 struct ClientsPlan {
@@ -109,6 +111,8 @@
     double connect_timeout = 0.25, connection_idle = 15;
     bool talk = false;         // nodes tell each other what they see
     double talk_bytes = 1024;  // a second, of each
+    bool talk_tenants = false; // tenants' shares follow the demand over the fleet
+    double talk_origin = 0;    // forwards a second to the origin of all nodes together; 0: no such limit
     bool talk_zones = true;    // leave a zone that is lost together, and take it back so
     bool has(TroubleKind kind) const;
     double answer_grace = 0.02, drain_grace = 0.3;
--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -148,12 +148,6 @@
     std::int64_t turn_ = 0;
 };
 
-double median(std::vector<double>& values) {
-    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
-    std::nth_element(values.begin(), middle, values.end());
-    return *middle;
-}
-
 // How much one server is trusted with at a time. Nobody tells its capacity: the limit grows by one a round
 // while answers are quick, falls at failures, and at the least limit failures bring a pause, because what
 // timed out or was rejected still costs the server work, and only a pause lets that drain.
@@ -339,6 +333,10 @@
         z.doubt.apart = apart;
         z.part = part;
     }
+    void tenant_part(double, int tenant, double part) override {
+        if (tenant >= 0 && tenant < static_cast<int>(tenants_.size()))
+            tenants_[static_cast<std::size_t>(tenant)].part = part;
+    }
     void listed(double, ListKind kind, const std::vector<Listing>& entries) override {
         ++list_turn_;
         for (const Listing& e : entries) {
@@ -369,10 +367,8 @@
             c.listed = e.size;
             c.seen = list_turn_;
         }
-        if (kind != ListKind::change) {
-            for (Cache& c : caches_) {
-                if (c.seen != list_turn_) c.standing = Standing::gone;
-            }
+        for (Cache& c : caches_) {
+            if (kind != ListKind::change && c.seen != list_turn_) c.standing = Standing::gone;
         }
         if (usual_size_ == 0) usual_size_ = usual_size();
         update_rings();
@@ -492,6 +488,7 @@
     };
     struct Share {
         double quota = 0;
+        double part = 0;  // of it, that other nodes leave to this one
         double tokens = 0;
         double filled = 0;
         Meter arrivals{kPaceSpan};
@@ -1121,7 +1118,7 @@
         Share& s = tenants_[static_cast<std::size_t>(v.what.tenant)];
         s.arrivals.add(now, 1);
         if (s.quota <= 0) return false;
-        const double rate = s.quota * node_part_;
+        const double rate = s.quota * std::max(node_part_, s.part);
         s.tokens = std::min(s.tokens + (now - s.filled) * rate, std::max(rate, kShareDepth));
         s.filled = now;
         if (s.tokens < 1) return true;
@@ -1150,7 +1147,8 @@
             if (s.quota > 0) parts.push_back(s.arrivals.sum(now) / kPaceSpan / s.quota);
         }
         node_part_ = 1.0 / std::max(1, deployment_.nodes);
-        if (!parts.empty()) node_part_ = std::clamp(median(parts), node_part_, 1.0);
+        std::sort(parts.begin(), parts.end());
+        if (!parts.empty()) node_part_ = std::clamp(parts[parts.size() / 2], node_part_, 1.0);
     }
     // An idle connection is kept until it closes by itself; after refusals for less: they fill the tables.
     void close_idle(double now) {
--- a/src/decision/balancer.h
+++ b/src/decision/balancer.h
@@ -136,6 +136,8 @@
     // What other nodes find of a cache: bad, to be tried by this one every `apart` seconds at the most; or no longer.
     virtual void vouched(double now, int cache, bool bad, double apart) = 0;
     // `part` of a zone's keys that nodes use there together; 0: left, and tried by this one every `apart` s.
+    // `part` of a tenant's share that other nodes leave to this one; its own guess counts where that is more.
+    virtual void tenant_part(double now, int tenant, double part) = 0;
     virtual void zone_share(double now, int zone, double part, double apart) = 0;
 };
 
--- a/src/fleet/exchange.cpp
+++ b/src/fleet/exchange.cpp
@@ -38,6 +38,7 @@
 constexpr int kCellMost = 8;             // bad endings of one node that count: none may shout
 constexpr double kLifeMost = 0x7fffffff * kTick;  // s, some 97 days
 constexpr double kLateCounted = 1.0;
+constexpr std::size_t kLimitsTold = 12;  // a datagram
 constexpr std::size_t kZoneVoters = 3;   // of the own zone's nodes there; where they are fewer all nodes' words count
 constexpr int kZoneNewsEach = 2;         // datagrams a step with news
 constexpr double kZoneAgain = 0.5;       // s between words on zones that are no news
@@ -66,7 +67,8 @@
       members_(terms.node, std::max(1, terms.nodes), entries_heard(terms)),
       ticked_(now),
       filled_(now),
-      zones_({terms.node, terms.zone, terms.zones, terms.warm_within, terms.regions}, now) {}
+      zones_({terms.node, terms.zone, terms.zones, terms.warm_within, terms.regions}, now),
+      limits_({terms.node, std::max(1, terms.nodes), terms.limits}, now) {}
 
 std::optional<Seen> seen_as(Ending ending, double took, double latency_objective) {
     switch (ending) {
@@ -179,12 +181,21 @@
     if (heard.new_life) {
         for (auto& [subject, kept] : kept_) kept.cells.erase(from);
         zones_.new_life(from);
+        limits_.new_life(from);
+        owed_grants_.erase(from);  // its earlier life asked
     }
     // Somebody knows a later life of this node than this one: its clock was set back. It must outlive that.
     if (d.start_of_yours > start_ && d.start_of_yours < UINT32_MAX - 1) start_ = d.start_of_yours + 1;
     for (const Alive& a : d.alive) members_.told(now, a, heard.late);
     for (const Sight& s : d.sights) take_sight(now, from, d.stamp, d.zone, s, heard.late);
     for (const Finding& f : d.findings) take_finding(f, now - f.age - heard.late);
+    for (const Want& w : d.wants) {
+        const Grant grant = limits_.wanted(now, from, d.stamp.number, w);
+        if (grant.crumbs > 0 && owed_grants_[from].size() < kLimitsTold) owed_grants_[from].push_back(grant);
+    }
+    for (const Grant& g : d.grants) {
+        if (d.start_of_yours == start_) limits_.granted(now, from, g);
+    }
     if (terms_.zones_as_one && now - ticked_ <= kStall) zones_.heard(now, from, d.stamp, d.zones, heard.late);
 }
 
@@ -401,7 +412,7 @@
     const double most = std::max(bytes / 2 * kPurse, static_cast<double>(kDatagramMost));
     report_purse_ = std::min(report_purse_ + more, most);
     gossip_purse_ = std::min(gossip_purse_ + more, most);
-    zone_purse_ = std::min(zone_purse_ + more, most);  // beside them, as it is spent while a zone is lost and then only
+    more_purse_ = std::min(more_purse_ + more, most);  // zones and limits: spent where they are not as usual
     std::erase_if(spread_, [now](const auto& entry) { return now - entry.second.born > kFindingKept; });
     std::erase_if(keepers_, [now](const auto& entry) { return now - entry.second.first > kOldest; });
     if (terms_.nodes > 1) {
@@ -409,10 +420,33 @@
         judge(now);
         gossip(now, out);
         if (terms_.zones_as_one) speak_of_zones(now, wall, out);
+        if (terms_.limits > 0) speak_of_limits(now, out);
     }
     return out;
 }
 
+// Who was asked for a part answers before it asks itself. A grant that is lost lapses with both.
+void Exchange::speak_of_limits(double now, std::vector<Outgoing>& out) {
+    for (auto& [to, grants] : std::exchange(owed_grants_, {})) {
+        Datagram d = headed(to, now);
+        d.grants = std::move(grants);
+        send(to, std::move(d), more_purse_, out);
+    }
+    std::vector<int> others = there_;
+    std::erase(others, terms_.node);
+    std::map<int, std::vector<Want>> wants;
+    for (const Limits::Ask& ask : limits_.tick(now, others, draw())) {
+        if (wants[ask.to].size() < kLimitsTold) wants[ask.to].push_back(ask.want);
+    }
+    for (const auto& [to, asked] : wants) {
+        Datagram d = headed(to, now);
+        d.wants = asked;
+        const std::uint32_t number = d.stamp.number;
+        if (!send(to, std::move(d), more_purse_, out)) continue;
+        for (const Want& w : asked) limits_.asked(to, w, number, now);
+    }
+}
+
 // What is not as usual with a zone goes straight to those whose business it is: news at once to some drawn by
 // chance, an answer to whoever said otherwise, and what stands again and again.
 void Exchange::speak_of_zones(double now, double wall, std::vector<Outgoing>& out) {
@@ -425,7 +459,7 @@
     zone_orders_.insert(zone_orders_.end(), changed.begin(), changed.end());
     const std::vector<int> owed = zones_.owed();
     if (!zones_.uneasy(now) && !zones_.news() && owed.empty()) return;
-    const auto say = [&](int to) { return send(to, headed(to, now), zone_purse_, out); };
+    const auto say = [&](int to) { return send(to, headed(to, now), more_purse_, out); };
     for (const int to : owed) say(to);
     if (voters_.size() < 2 || (!zones_.news() && now - zones_said_ < kZoneAgain)) return;
     for (int n = 0; n < (zones_.news() ? kZoneNewsEach : 1); ++n) {
--- a/src/fleet/exchange.h
+++ b/src/fleet/exchange.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "balancer.h"
+#include "fleet_limits.h"
 #include "members.h"
 #include "words.h"
 #include "zones.h"
@@ -39,6 +40,7 @@
     bool zones_as_one = false;   // whether nodes leave a zone and take it back together
     double warm_within = 0;      // s that a cold cache takes
     std::vector<int> regions = {};  // of each zone; empty: none
+    int limits = 0;                 // that are the whole fleet's
 };
 
 enum class Seen { good, bad };
@@ -108,6 +110,10 @@
     };
     // What stands, and once what no longer stands.
     std::vector<Verdict> verdicts(double now);
+    void limit_needs(double now, int limit, double crumbs) { limits_.needs(now, limit, crumbs); }
+    void limits_anew(double now) { limits_.anew(now); }
+    std::uint32_t limit_part(int limit, double now) const { return limits_.part(limit, now); }
+    Limits::View limit_view(int limit, double now) const { return limits_.view(limit, now); }
     std::vector<Zones::Order> zone_orders() { return std::exchange(zone_orders_, {}); }  // what changed since
     std::vector<Zones::View> zone_views(double now) const;
     State state(double now) const;
@@ -165,6 +171,7 @@
     void report(double now, std::vector<Outgoing>& out);
     void gossip(double now, std::vector<Outgoing>& out);
     void speak_of_zones(double now, double wall, std::vector<Outgoing>& out);
+    void speak_of_limits(double now, std::vector<Outgoing>& out);
     Datagram headed(int to, double now);
     bool send(int to, Datagram&& datagram, double& purse, std::vector<Outgoing>& out);
     double allowance(double now) const;
@@ -186,8 +193,10 @@
     std::map<Subject, std::pair<double, std::vector<int>>> keepers_;  // as of some time
     int caches_ = 0;
     double ticked_ = 0, doubts_until_ = -1e9, gossiped_ = -1e9, filled_ = 0;
-    double report_purse_ = 0, gossip_purse_ = 0, zone_purse_ = 0, zones_said_ = -1e9;
+    double report_purse_ = 0, gossip_purse_ = 0, more_purse_ = 0, zones_said_ = -1e9;
     Zones zones_;
+    Limits limits_;
+    std::map<int, std::vector<Grant>> owed_grants_;  // to whom
     std::vector<int> voters_;  // whose word on zones counts here, as of this step
     std::vector<Zones::Order> zone_orders_;
     std::array<int, 8> arrivals_{};  // a second
--- /dev/null
+++ b/src/fleet/fleet_limits.h
@@ -0,0 +1,107 @@
+// Parts of limits that belong to the whole fleet, lent from node to node where the demand is. Each node owns an even
+// part; what it does not need it lends for a short time, and then has it back whether anybody says so or not. I/O-free.
+// It owns the leases of this node, both ways; it never gives what it was itself lent, and never counts on another
+// clock: a lease begins, for the one that took it, when that one asked, which was before it was given.
+//
+// The sum over the fleet never exceeds the whole, whatever is lost, doubled, late or said out of order, whoever dies,
+// stands still or starts anew: docs/limits.md has the reasons, the bounds and the runs.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "words.h"
+
+namespace brookrelay::fleet {
+
+constexpr std::uint32_t kWhole = 1'000'000;  // crumbs: parts are whole numbers, so that sums are exact
+constexpr double kLease = 3.0;               // s
+
+// What one node does with its part of a limit that is so many a second for the whole fleet.
+class Spending {
+  public:
+    void asked(double now);  // whether it may or not: this is the demand
+    // One more, by a part of `a_second`; what is saved up is a quarter of a second's, and one at the least.
+    bool take(double now, double a_second, double part);
+    double rate(double now) const;  // asked a second, over the last two
+
+  private:
+    static constexpr std::int64_t kBuckets = 8;
+    static constexpr double kBucket = 0.25;
+    std::array<int, kBuckets> asked_{};
+    std::int64_t turn_ = 0;
+    double tokens_ = 1, filled_ = -1e9;
+};
+
+class Limits {
+  public:
+    struct Terms {
+        int node = 0;
+        int nodes = 1;
+        int limits = 0;
+    };
+    struct Ask {
+        int to = 0;
+        Want want;
+    };
+    struct View {  // for operators, in parts of the whole
+        double own = 0, lent = 0, borrowed = 0, need = 0;
+        int lenders = 0, takers = 0;
+    };
+
+    // At a start nothing is known of what an earlier life lent: until that has lapsed only what is never lent is used.
+    Limits(Terms terms, double now);
+
+    // What this node could use now, in crumbs of the whole; told each time it is known anew.
+    void needs(double now, int limit, double crumbs);
+    // Whom to ask for how much; `others` are there, `draw` picks among them.
+    std::vector<Ask> tick(double now, const std::vector<int>& others, double draw);
+    void asked(int to, const Want& want, std::uint32_t number, double now);  // it went out under this number
+    // What is granted of what `from` asked under a number; nothing: 0 crumbs.
+    Grant wanted(double now, int from, std::uint32_t number, const Want& want);
+    void granted(double now, int from, const Grant& grant);
+    void new_life(int node);  // its grants were another's
+    // As at a start: another process of this node may still use, or have lent, what is this node's.
+    void anew(double now) { began_ = now; }
+
+    std::uint32_t part(int limit, double now) const;  // in force, crumbs
+    View view(int limit, double now) const;
+    static std::uint32_t most_lent(int nodes);  // by one node
+
+  private:
+    struct Lease {
+        std::uint32_t crumbs = 0;
+        double until = 0;
+    };
+    using Leases = std::vector<Lease>;  // with one node: the largest that is in force counts, never their sum
+    struct Of {                         // a limit
+        double need = 0;
+        double needed_at = -1e9;
+        std::map<int, Leases> lent, borrowed;
+    };
+    struct Pending {
+        int to = 0;
+        std::uint32_t number = 0;
+        int limit = 0;
+        std::uint32_t crumbs = 0;
+        double sent = 0;
+    };
+
+    static std::uint32_t largest(const Leases& leases, double now);
+    static double longest(const Leases& leases);
+    static std::uint32_t sum(const std::map<int, Leases>& leases, double now);
+    std::uint32_t own(const Of& of, double now) const;  // less what is lent
+    Of& of(int limit) { return limits_[static_cast<std::size_t>(limit)]; }
+    const Of& of(int limit) const { return limits_[static_cast<std::size_t>(limit)]; }
+
+    Terms terms_;
+    std::uint32_t base_, most_lent_;
+    double began_;
+    double ticked_ = -1e9;
+    std::vector<Of> limits_;
+    std::vector<Pending> pending_;
+};
+
+}  // namespace brookrelay::fleet
--- a/src/fleet/words.cpp
+++ b/src/fleet/words.cpp
@@ -8,9 +8,9 @@
 namespace brookrelay::fleet {
 namespace {
 
-constexpr std::uint32_t kHead = 10, kPerAlive = 2, kPerSight = 3, kPerFinding = 7, kPerZone = 3;
+constexpr std::uint32_t kHead = 12, kPerAlive = 2, kPerSight = 3, kPerFinding = 7, kPerZone = 3, kPerWant = 2, kPerGrant = 3;
 constexpr std::uint32_t kZoneRoom = 64;  // a node and the zone it stands in go as one number
-constexpr std::uint32_t kNodesMost = 65536, kCountMost = 127;
+constexpr std::uint32_t kNodesMost = 65536, kCountMost = 127, kLimitsMost = 4096, kCrumbsMost = 1'000'000;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -58,10 +58,12 @@
     d.stamp.number = head.next();
     d.zone = as_int(head.next(kZonesMost - 1));
     d.start_of_yours = head.next();
-    const msgpack::object *alive = head.list(), *sights = head.list(), *findings = head.list(), *zones = head.list();
+    const msgpack::object *alive = head.list(), *sights = head.list(), *findings = head.list(), *zones = head.list(),
+                          *wants = head.list(), *grants = head.list();
     if (!head.sound()) return false;
-    Numbers a(*alive), s(*sights), f(*findings), z(*zones);
-    if (a.size() % kPerAlive != 0 || s.size() % kPerSight != 0 || f.size() % kPerFinding != 0 || z.size() % kPerZone != 0)
+    Numbers a(*alive), s(*sights), f(*findings), z(*zones), w(*wants), g(*grants);
+    if (a.size() % kPerAlive != 0 || s.size() % kPerSight != 0 || f.size() % kPerFinding != 0 || z.size() % kPerZone != 0 ||
+        w.size() % kPerWant != 0 || g.size() % kPerGrant != 0)
         return false;
     while (!a.at_end()) {
         const std::uint32_t who = a.next(kNodesMost * kZoneRoom);
@@ -91,7 +93,16 @@
         const auto seen = static_cast<ZoneSight>(z.next(static_cast<std::uint32_t>(ZoneSight::strained)));
         d.zones.push_back({zone, seen, as_int(z.next(kStepWell))});
     }
-    return a.sound() && s.sound() && f.sound() && z.sound();
+    while (!w.at_end()) {
+        const int limit = as_int(w.next(kLimitsMost));
+        d.wants.push_back({limit, w.next(kCrumbsMost)});
+    }
+    while (!g.at_end()) {
+        const int limit = as_int(g.next(kLimitsMost));
+        const std::uint32_t crumbs = g.next(kCrumbsMost);
+        d.grants.push_back({limit, crumbs, g.next()});
+    }
+    return a.sound() && s.sound() && f.sound() && z.sound() && w.sound() && g.sound();
 }
 
 }  // namespace
@@ -129,6 +140,10 @@
     }
     list(d.zones.size(), kPerZone);
     for (const ZoneVoice& v : d.zones) put(v.zone), put(v.sight), put(std::clamp(v.step, kStepLeft, kStepWell));
+    list(d.wants.size(), kPerWant);
+    for (const Want& w : d.wants) put(w.limit), put(w.crumbs);
+    list(d.grants.size(), kPerGrant);
+    for (const Grant& g : d.grants) put(g.limit), put(g.crumbs), put(g.of);
     return {bytes.data(), bytes.size()};
 }
 
--- a/src/fleet/words.h
+++ b/src/fleet/words.h
@@ -58,6 +58,17 @@
     int step = kStepWell;
 };
 
+// Of a limit that belongs to the whole fleet, in crumbs of it: see fleet_limits.h.
+struct Want {
+    int limit = 0;
+    std::uint32_t crumbs = 0;
+};
+struct Grant {
+    int limit = 0;
+    std::uint32_t crumbs = 0;
+    std::uint32_t of = 0;  // number of the datagram that asked, in the addressee's life that is named there
+};
+
 struct Datagram {
     int node = 0;  // whose it is
     Stamp stamp;
@@ -67,6 +78,8 @@
     std::vector<Sight> sights;
     std::vector<Finding> findings;
     std::vector<ZoneVoice> zones;
+    std::vector<Want> wants;
+    std::vector<Grant> grants;
 };
 
 std::string encode(const Datagram& datagram);
--- a/src/kit/clients.cpp
+++ b/src/kit/clients.cpp
@@ -46,7 +46,10 @@
 
 void Crowd::front_uses(int node, bool yes) { nodes_[static_cast<std::size_t>(node)].used = yes; }
 
-void Crowd::begin() { next_arrival(); }
+void Crowd::begin(double day) {
+    begun_ = day;
+    next_arrival();
+}
 
 void Crowd::stop() {
     stopped_ = true;
@@ -76,6 +79,17 @@
     for (std::size_t n = 0; n < nodes_.size(); ++n) {
         if (nodes_[n].used) usable.push_back(static_cast<int>(n));
     }
+    // Where a tenant's clients come to some nodes alone, the others are for when none of these is there.
+    if (user.plan->tenant >= 0) {
+        const TenantPlan& t = world_.scenario.tenants[static_cast<std::size_t>(user.plan->tenant)];
+        const bool moved = t.moves > 0 && world_.now() >= begun_ + t.moves;
+        std::vector<int> theirs;
+        for (const std::string& name : moved ? t.then : t.nodes) {
+            const int node = std::stoi(name.substr(1));
+            if (std::find(usable.begin(), usable.end(), node) != usable.end()) theirs.push_back(node);
+        }
+        if (!theirs.empty()) usable = std::move(theirs);
+    }
     const std::size_t all = usable.empty() ? nodes_.size() : usable.size();
     const auto drawn = static_cast<std::size_t>(static_cast<double>(user.plan->node_draw) * static_cast<double>(all));
     const std::size_t chosen = (drawn + static_cast<std::size_t>(user.tries)) % all;
--- a/src/kit/clients.h
+++ b/src/kit/clients.h
@@ -25,7 +25,7 @@
     // The front's view of a node: dealt to or not.
     void node_at(int node, const Tcp::endpoint& where);
     void front_uses(int node, bool yes);
-    void begin();
+    void begin(double day);  // when the day began, by the world's clock
     bool all_over() const { return next_ >= schedule_.size() && open_ == 0 && waiting_ == 0; }
     void stop();  // asks no more
 
@@ -72,6 +72,7 @@
     World& world_;
     const std::vector<Planned>& schedule_;
     std::size_t next_ = 0;
+    double begun_ = 0;
     std::vector<Node> nodes_;
     boost::random::mt19937_64 chance_;
     boost::asio::steady_timer arrivals_;
--- a/src/kit/rehearsal.cpp
+++ b/src/kit/rehearsal.cpp
@@ -283,7 +283,7 @@
         }
         plan_.begun(all, managements);
     }
-    crowd_->begin();
+    crowd_->begin(begun_);
     for (const Trouble& t : scenario_.troubles) world_.at(begun_ + t.at, [this, &t] { bring_about(t); });
     forwards_before_.assign(caches_.size() + 1, 0);
     world_.at(begun_ + 1, [this] { each_second(); });
@@ -449,6 +449,7 @@
         v.zones.emplace_back(z["state"].GetString());
         v.parts.push_back(z["part"].GetDouble());
     }
+    for (const auto& l : d["limits"].GetArray()) v.limits[l["limit"].GetString()] = l["part"].GetDouble();
     v.oldest_word = d["words"]["oldest_s"].GetDouble();
     v.sent_bytes = d["datagrams"]["sent_bytes"].GetDouble();
     v.unsound = d["datagrams"]["unsound"].GetDouble();
@@ -650,6 +651,11 @@
     if (scenario_.talk) {
         std::ofstream(operator_file) << "[fleet]\ntalk = true\nbytes_a_second = " << scenario_.talk_bytes
                                      << "\nzones = " << (scenario_.talk_zones ? "true" : "false") << "\n";
+        if (scenario_.talk_tenants || scenario_.talk_origin > 0) {
+            std::ofstream more(operator_file, std::ios::app);
+            more << "[fleet.limits]\ntenants = " << (scenario_.talk_tenants ? "true" : "false") << "\n";
+            if (scenario_.talk_origin > 0) more << "origin = " << scenario_.talk_origin << "\n";
+        }
     }
     for (int n = 0; n < scenario_.nodes; ++n) {
         Daemon::Place place{plan_.program, plan_.folder, "n" + std::to_string(n), -1};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -95,6 +95,9 @@
     CLI::App* status = fleet->add_subcommand("status", "what one running node thinks: peers, words, findings");
     status->add_option("--address", fleet_wish.address, "HOST:PORT of the node's operators' address")->required();
     status->add_flag("--json", fleet_wish.json, "as the node says it");
+    CLI::App* limits = fleet->add_subcommand("limits", "one running node's parts of the limits that are the whole fleet's");
+    limits->add_option("--address", fleet_wish.address, "HOST:PORT of the node's operators' address")->required();
+    limits->add_flag("--json", fleet_wish.json, "as the node says it");
     CLI::App* zones = fleet->add_subcommand("zones", "which zones one running node uses, and why; a zone left or taken back by hand");
     zones->add_option("--address", fleet_wish.address, "HOST:PORT of the node's operators' address")->required();
     CLI::Option* leave = zones->add_option("--leave", fleet_wish.leave, "a zone that this node is to leave until it is taken back");
@@ -111,6 +114,7 @@
         if (check->parsed()) return brookrelay::check_file(to_check);
         if (watch->parsed()) return brookrelay::watch_registry(registry_wish);
         if (status->parsed()) return brookrelay::fleet_status(fleet_wish);
+        if (limits->parsed()) return brookrelay::fleet_limits(fleet_wish);
         if (zones->parsed()) return brookrelay::fleet_zones(fleet_wish);
         if (load->parsed()) return brookrelay::measure_load(load_wish);
         if (rehearse->parsed()) return brookrelay::rehearse(wish);
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -123,7 +123,8 @@
                 timers_, log, station, operator_file,
                 [this] { inbox_.emplace_back([this](double now) { talk_->step(now); }); },
                 [this](double now, const std::string& name, bool bad, double apart) { found_by_fleet(now, name, bad, apart); },
-                [this](double now, const fleet::Zones::Order& o) { balancer_->zone_share(now, o.zone, o.part, o.apart); });
+                [this](double now, const fleet::Zones::Order& o) { balancer_->zone_share(now, o.zone, o.part, o.apart); },
+                [this](double now, int tenant, double part) { balancer_->tenant_part(now, tenant, part); });
         } else {
             log.line(Topic::node, "peers_off", "tells other nodes nothing: " + against);
         }
@@ -215,6 +216,7 @@
         entries.push_back(listing(cache));
     }
     balancer_->listed(monotonic(), ListKind::whole, entries);
+    if (talk_ != nullptr) talk_->settle_in(station_.deployment);
     if (talk_ != nullptr) talk_->zones_anew(monotonic());
     log_.line(Topic::node, "configuration_read",
               "configuration read again: discovery at " + station.discovery + ", settings taken" +
@@ -309,6 +311,7 @@
     a.key = key_number(v.command.key);
     a.time_left = std::max(0.0, v.due - now);
     if (talk_ != nullptr && !a.repeat) talk_->asked(now);
+    if (talk_ != nullptr) talk_->tenant_asked(now, a.tenant);
     balancer_->arrived(now, a);
 }
 
@@ -524,7 +527,9 @@
     const Invocation& v = invocation(inv);
     const double left = std::min(limit, v.due - monotonic());
     // Decided before the turn's news of the server came.
-    if (v.over || left <= 0 || !takes_new(cache)) {
+    const bool declined = v.over || left <= 0 || !takes_new(cache);
+    // Past its part of the fleet's limit a node sends nothing to the origin: who asked is told to come again.
+    if (declined || (talk_ != nullptr && is_origin(server(cache)) && !talk_->origin_may(monotonic()))) {
         inbox_.emplace_back([this, e = Pool::Ended{inv, number, cache, Ending::not_sent, 0, {}, 0, 0}](
                                 double now) mutable { ended(now, e); });
         return;
--- a/src/net/talk.cpp
+++ b/src/net/talk.cpp
@@ -6,11 +6,13 @@
 namespace brookrelay {
 namespace {
 
+constexpr double kLimitsEvery = 0.25;  // s
 constexpr double kOpenAgain = 1.0;  // s: another process of this node may hold the address until it ends
 
 fleet::Terms terms(const Station& s, const OperatorFile& o) {
     const Deployment& d = s.deployment;
-    fleet::Terms t{d.node, d.nodes, d.zone, d.zones, o.fleet_bytes_a_second, s.peer_price, o.fleet_price_part, o.fleet_zones, d.warm_within, {}};
+    fleet::Terms t{d.node, d.nodes, d.zone, d.zones, o.fleet_bytes_a_second, s.peer_price, o.fleet_price_part, o.fleet_zones, d.warm_within, {}, 0};
+    if (o.fleet_tenants || o.fleet_origin > 0) t.limits = 1 + static_cast<int>(d.tenants.size());
     // Zones by the names in the operators' file; one that is in none of its regions is one by itself.
     for (int z = 0; z < d.zones; ++z) t.regions.push_back(-1 - z);
     for (std::size_t r = 0; r < o.fleet_regions.size(); ++r) {
@@ -50,7 +52,8 @@
     return {};
 }
 
-Talk::Talk(Timers& timers, Log& log, const Station& s, const OperatorFile& o, std::function<void()> due, Found found, ZoneTold zone_told)
+Talk::Talk(Timers& timers, Log& log, const Station& s, const OperatorFile& o, std::function<void()> due, Found found, ZoneTold zone_told,
+           TenantTold tenant_told)
     : timers_(timers),
       log_(log),
       own_(s.peer_listen),
@@ -60,8 +63,57 @@
       due_(std::move(due)),
       found_(std::move(found)),
       zone_told_(std::move(zone_told)),
+      tenant_told_(std::move(tenant_told)),
+      tenants_follow_(o.fleet_tenants),
+      tenant_names_(s.names.tenants),
+      spending_(1 + s.deployment.tenants.size()),
       exchange_(terms(s, o), life(), s.seed, monotonic()),
-      peers_([this](int from, std::string_view bytes) { exchange_.received(monotonic(), from, bytes); }) {}
+      peers_([this](int from, std::string_view bytes) { exchange_.received(monotonic(), from, bytes); }) {
+    settle_in(s.deployment);
+    // Under one a second a node's part would never come to a whole forward.
+    if (o.fleet_origin >= s.deployment.nodes) {
+        origin_most_ = o.fleet_origin;
+    } else if (o.fleet_origin > 0) {
+        log.line(Topic::node, "limits_off", "fleet.limits.origin is less than one a second for each of " + std::to_string(s.deployment.nodes) +
+                                                " nodes: the origin's limit is left to each node");
+    }
+}
+
+void Talk::settle_in(const Deployment& deployment) {
+    quotas_.clear();
+    for (const Tenant& t : deployment.tenants) quotas_.push_back(t.quota);
+    quotas_.resize(spending_.size() - 1);
+}
+
+void Talk::tenant_asked(double now, int tenant) {
+    if (tenants_follow_ && tenant >= 0 && tenant + 1 < static_cast<int>(spending_.size())) spending_[static_cast<std::size_t>(tenant) + 1].asked(now);
+}
+
+// Asked just before the forward goes: what a node had before it stood still has lapsed by its own clock.
+bool Talk::origin_may(double now) {
+    if (origin_most_ <= 0) return true;
+    spending_[0].asked(now);
+    if (spending_[0].take(now, origin_most_, static_cast<double>(exchange_.limit_part(0, now)) / fleet::kWhole)) return true;
+    ++origin_refused_;
+    return false;
+}
+
+void Talk::tell_limits(double now) {
+    if (now - limits_told_ < kLimitsEvery) return;
+    limits_told_ = now;
+    if (origin_most_ > 0) exchange_.limit_needs(now, 0, spending_[0].rate(now) / origin_most_ * fleet::kWhole);
+    for (std::size_t t = 0; tenants_follow_ && t < quotas_.size(); ++t) {
+        if (quotas_[t] <= 0) continue;
+        const int limit = static_cast<int>(t) + 1;
+        exchange_.limit_needs(now, limit, spending_[t + 1].rate(now) / quotas_[t] * fleet::kWhole);
+        tenant_told_(now, static_cast<int>(t), static_cast<double>(exchange_.limit_part(limit, now)) / fleet::kWhole);
+    }
+}
+
+std::string Talk::limit_name(std::size_t limit) const {
+    if (limit == 0) return "origin";
+    return limit <= tenant_names_.size() ? "tenant " + tenant_names_[limit - 1] : "tenant " + std::to_string(limit);
+}
 
 void Talk::start() {
     open();
@@ -80,6 +132,8 @@
 
 void Talk::step(double now) {
     timers_.at(now + fleet::Exchange::kStep, due_);
+    // Another process of this node holds the address, and with it the node's parts of limits, until it ends.
+    if (!peers_.listens()) exchange_.limits_anew(now);
     if (!peers_.listens() && now >= try_again_) open();
     while (!by_overdue_.empty() && by_overdue_.begin()->first <= now) {
         const auto [when, forward] = *by_overdue_.begin();
@@ -116,6 +170,7 @@
         zone_orders_[o.zone] = o;
         if (verdicts_) zone_told_(now, o);
     }
+    tell_limits(now);
     const std::uint64_t stalls = exchange_.stalls();
     if (stalls != stalls_) log_.line(Topic::node, "fleet_stalled", "this process stood still: what it saw meanwhile is told to nobody");
     stalls_ = stalls;
@@ -152,7 +207,7 @@
     const fleet::State s = exchange_.state(now);
     rapidjson::StringBuffer buffer;
     rapidjson::Writer<rapidjson::StringBuffer> json(buffer);
-    json.SetMaxDecimalPlaces(3);
+    json.SetMaxDecimalPlaces(5);
     const auto number = [&json](const char* key, double value) { json.Key(key), json.Double(value); };
     const auto count = [&json](const char* key, std::uint64_t value) { json.Key(key), json.Uint64(value); };
     const auto zone_names = [&](std::uint32_t bits) {
@@ -230,6 +285,27 @@
         json.EndObject();
     }
     json.EndArray();
+    json.Key("limits");
+    json.StartArray();
+    for (std::size_t l = 0; l < spending_.size(); ++l) {
+        const bool on = l == 0 ? origin_most_ > 0 : tenants_follow_ && quotas_[l - 1] > 0;
+        if (!on) continue;
+        const fleet::Limits::View v = exchange_.limit_view(static_cast<int>(l), now);
+        json.StartObject();
+        json.Key("limit"), json.String(limit_name(l).c_str());
+        number("a_second", l == 0 ? origin_most_ : quotas_[l - 1]);
+        json.Key("kind"), json.String(l == 0 ? "strict" : "open");
+        number("part", v.own + v.borrowed);
+        number("own", v.own);
+        number("lent", v.lent);
+        number("borrowed", v.borrowed);
+        number("need", v.need);
+        json.Key("lenders"), json.Int(v.lenders);
+        json.Key("takers"), json.Int(v.takers);
+        if (l == 0) count("refused", origin_refused_);
+        json.EndObject();
+    }
+    json.EndArray();
     json.Key("datagrams");
     json.StartObject();
     count("sent", s.counts.sent);
--- a/src/net/talk.h
+++ b/src/net/talk.h
@@ -20,12 +20,14 @@
 class Talk {
   public:
     using Found = std::function<void(double now, const std::string& server, bool bad, double apart)>;
+    using TenantTold = std::function<void(double now, int tenant, double part)>;
     using ZoneTold = std::function<void(double now, const fleet::Zones::Order& order)>;
 
     // Why this station's nodes cannot talk; empty: they can.
     static std::string against(const Station& station);
     // `found` is called from step(): what stands each time, and once what no longer stands.
-    Talk(Timers& timers, Log& log, const Station& station, const OperatorFile& operator_file, std::function<void()> due, Found found, ZoneTold zone_told);
+    Talk(Timers& timers, Log& log, const Station& station, const OperatorFile& operator_file, std::function<void()> due, Found found, ZoneTold zone_told,
+         TenantTold tenant_told);
 
     void start();
     void step(double now);  // what `due` asked for
@@ -34,6 +36,10 @@
     void began(double now, std::uint64_t forward, const std::string& server, int zone, double latency_objective);
     void ended(double now, std::uint64_t forward, const std::string& server, int zone, Ending ending, double took,
                double latency_objective);
+    // Limits of the whole fleet. A tenant's invocation came; and whether one more forward may go to the origin.
+    void tenant_asked(double now, int tenant);
+    bool origin_may(double now);
+    void settle_in(const Deployment& deployment);  // other quotas from now on
     void zone_by_hand(double now, int zone, bool out) { exchange_.zone_by_hand(now, zone, out); }
     void zones_anew(double now);  // tells again what stands: the module was given other settings
     void listed(const std::vector<std::string>& servers, int in_own_zone);
@@ -41,6 +47,8 @@
 
   private:
     void open();
+    void tell_limits(double now);
+    std::string limit_name(std::size_t limit) const;
 
     Timers& timers_;
     Log& log_;
@@ -50,6 +58,14 @@
     std::function<void()> due_;
     Found found_;
     ZoneTold zone_told_;
+    TenantTold tenant_told_;
+    double origin_most_ = 0;  // a second, of all nodes; 0: no limit of theirs
+    bool tenants_follow_ = false;
+    std::vector<double> quotas_;
+    std::vector<std::string> tenant_names_;
+    std::vector<fleet::Spending> spending_;  // the origin, then each tenant
+    std::uint64_t origin_refused_ = 0;
+    double limits_told_ = -1e9;
     fleet::Exchange exchange_;
     Peers peers_;
     struct Out {
--- a/tests/days.h
+++ b/tests/days.h
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <functional>
 #include <string>
@@ -85,8 +86,9 @@
     p.plan.begun = std::move(begun);
     p.plan.progress = std::move(progress);
     p.plan.program = BROOKRELAY_PROGRAM;
-    p.plan.folder = testing::TempDir() + "processes-" + std::to_string(getpid()) + "-" +
-                    testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::string name = testing::UnitTest::GetInstance()->current_test_info()->name();
+    std::replace(name.begin(), name.end(), '/', '-');  // of a case of several
+    p.plan.folder = testing::TempDir() + "processes-" + std::to_string(getpid()) + "-" + name;
     std::filesystem::create_directories(p.plan.folder);
     p.result = play_day(p.plan);
     p.told = summary_text(p.plan, p.result);
--- a/tests/planted.sh
+++ b/tests/planted.sh
@@ -37,12 +37,21 @@
 'zones.cpp~const int step = p.hand ? kStepWell : p.step;~const int step = p.step;~Zones.ByHandAreLeftAndTakenBackThroughTheSameSteps'
 'zones.cpp~if (now - began_ <= kYoung~if (false~ZoneFleet.StartedOrWokenInTheMiddleOfARampANodeTakesTheOthersStep'
 'zones.cpp~const double pause = p.falls == 0 ? 0 : kFallPause * std::exp2(p.falls);~const double pause = 0;~ZoneFleet.OneThatComesAndGoesIsFollowedAtAGrowingDistance'
+'fleet_limits.cpp~const std::uint32_t earlier = now - began_ < kLease * kClocksApart ? most_lent_ : 0;~const std::uint32_t earlier = 0;~LimitsExplorer.InNoOrderOfFaultsIsMoreThanTheWholeInForceNorAPartLostForGood'
+'fleet_limits.cpp~const double until = p.sent + kLease;~const double until = now + kLease;~LimitsExplorer.InNoOrderOfFaultsIsMoreThanTheWholeInForceNorAPartLostForGood'
+'fleet_limits.cpp~o.lent[from].push_back({g.crumbs, now + kLease * kClocksApart});~o.lent[from].push_back({g.crumbs, now + kLease / 2});~LimitsExplorer.InNoOrderOfFaultsIsMoreThanTheWholeInForceNorAPartLostForGood'
+'fleet_limits.cpp~most = std::max(most, l.crumbs);~most += l.crumbs;~Limits.DoubledLateUnaskedAndOverlargeGrantsAddNothing'
+'fleet_limits.cpp~std::min({grant.crumbs, p.crumbs, most_lent_})~grant.crumbs~Limits.DoubledLateUnaskedAndOverlargeGrantsAddNothing'
+'fleet_limits.cpp~if (asked == pending_.end()) return;  // never asked~if (asked == pending_.end()) { of(grant.limit).borrowed[from].push_back({grant.crumbs, now + kLease}); return; }  // never asked~Limits.DoubledLateUnaskedAndOverlargeGrantsAddNothing'
+'fleet_limits.cpp~if (longest(with) - now < kAskAgain && keep >= 1)~if (false)~LimitsFleet.FollowsADemandThatMovesAndNeverPassesTheWhole'
+'exchange.cpp~if (d.start_of_yours == start_) limits_.granted~limits_.granted~LimitsFleet.AGrantThatAnEarlierLifeAskedForIsNone'
 )
 
 try() {
     local number=$1 line=$2 file stands planted name dir suite=exchange
     IFS='~' read -r file stands planted name <<<"$line"
     [[ $name == Zone* ]] && suite=zones
+    [[ $name == Limits* ]] && suite=limits
     dir=$work/$number
     mkdir -p "$dir"
     cp "$root"/src/fleet/* "$dir"
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -560,9 +560,34 @@
     assert(part_there(0.01) == 1);
 }
 
+// A tenant within its share that comes to one node alone looks greedy there; what other nodes leave to this one tells.
+void a_tenants_part_is_what_other_nodes_leave_to_this_one() {
+    for (const bool told : {false, true}) {
+        Fleet fleet(4);
+        fleet.deployment.nodes = 12;
+        fleet.deployment.tenants = {{60}, {60}, {60}};
+        fleet.start();
+        int throttled = 0, came = 0;
+        for (int n = 0; n < 600; ++n) {  // 12 s: the first one 40 a second, the others 5 each
+            fleet.now += 0.02;
+            const int tenant = n % 5 == 4 ? 1 + n / 5 % 2 : 0;
+            if (told && n % 12 == 0) fleet.node->tenant_part(fleet.now, 0, 0.8);
+            const int inv = fleet.arrive(static_cast<std::uint64_t>(n) * 7919, 0, false, 1.2, false, tenant);
+            came += tenant == 0 && n > 300;
+            if (fleet.finals(inv) > 0) {
+                throttled += tenant == 0 && n > 300;
+                continue;
+            }
+            fleet.end(inv, 0, Ending::succeeded, n % 4 == 0 ? 0.25 : 0.05, true);  // the caches are strained
+        }
+        assert(told ? throttled == 0 : throttled > came / 4);
+    }
+}
+
 }  // namespace
 
 int main() {
+    a_tenants_part_is_what_other_nodes_leave_to_this_one();
     a_zone_is_left_and_taken_back_by_the_fleets_word();
     what_other_nodes_find_is_a_doubt_unless_own_answers_speak_against_it();
     with_every_zone_lost_further_forwards_need_tokens();
--- a/tools/completion.bash
+++ b/tools/completion.bash
@@ -17,7 +17,7 @@
     elif [ "$command" = serve ]; then
         words="--config --operator --log-format --help"
     elif [ "$command" = fleet ]; then
-        words="status zones --address --json --leave --take-back --help"
+        words="status zones limits --address --json --leave --take-back --help"
     elif [ "$command" = rehearse ] && [ "${COMP_WORDS[2]}" = load ] && [ "$COMP_CWORD" -gt 2 ]; then
         words="--daemon --clients --rate --seconds --rounds --value-bytes --help"
     elif [ "$command" = rehearse ]; then
