A finding needs its keeper or two nodes that say it; a left zone no longer returns on old answers

(1) Findings were passed on without proof: one node could make up other keepers' and move the rest (stated as not guarded since they came). (4) Falls were each node's own, so those not there at a fall led the rest into the next.

Changes: what did not come from its keeper waits until two nodes said the same, and goes on no sooner; a keeper says its own twelve times. Words of before a zone was left count as nothing there. An answered trial is 48 datagrams of news. A node is as careful as the second most careful that it hears.

--- a/src/fleet/exchange.cpp
+++ b/src/fleet/exchange.cpp
@@ -4,6 +4,7 @@
 #include <bit>
 #include <cmath>
 #include <numeric>
+#include <tuple>
 
 namespace brookrelay::fleet {
 namespace {
@@ -22,7 +23,10 @@
 constexpr double kTellAgain = 1.0;       // s between one node's words on one subject
 constexpr double kGossipEvery = 1.0 / 3; // s, if bytes allow
 constexpr std::size_t kAliveMost = 12;   // a datagram
+constexpr int kToldEach = 3;             // statements of one node on one finding that are held,
+constexpr std::size_t kToldMost = 8;     // and of all
 constexpr int kSaidEnough = 6;           // times that a node passes on one finding: some log2(700) and a few lost
+constexpr int kOwnSaid = 12;             // its own finding,
 constexpr int kNewsSaid = 3;             // and of these, those that do not wait for the next turn
 constexpr double kStall = 0.6;           // s without a turn: what was seen meanwhile is this node's own doing
 constexpr double kDoubt = 2.0;           // s after a stall in which it says nothing of others
@@ -40,7 +44,9 @@
 constexpr double kLateCounted = 1.0;
 constexpr std::size_t kLimitsTold = 12;  // a datagram
 constexpr std::size_t kZoneVoters = 3;   // of the own zone's nodes there; where they are fewer all nodes' words count
-constexpr int kZoneNewsEach = 2;         // datagrams a step with news
+constexpr int kZoneNewsEach = 2;         // datagrams a step with news,
+constexpr int kZoneNewsMost = 6;         // or so many where it is for all:
+constexpr int kZoneNewsMany = 16;        // more than so many are to go
 constexpr double kZoneAgain = 0.5;       // s between words on zones that are no news
 
 std::uint64_t mix(std::uint64_t x) {
@@ -188,7 +194,7 @@
     if (d.start_of_yours > start_ && d.start_of_yours < UINT32_MAX - 1) start_ = d.start_of_yours + 1;
     for (const Alive& a : d.alive) members_.told(now, a, heard.late);
     for (const Sight& s : d.sights) take_sight(now, from, d.stamp, d.zone, s, heard.late);
-    for (const Finding& f : d.findings) take_finding(f, now - f.age - heard.late);
+    for (const Finding& f : d.findings) take_finding(f, now - f.age - heard.late, from);
     for (const Want& w : d.wants) {
         const Grant grant = limits_.wanted(now, from, d.stamp.number, w);
         if (grant.crumbs > 0 && owed_grants_[from].size() < kLimitsTold) owed_grants_[from].push_back(grant);
@@ -206,20 +212,56 @@
     cell = {stamp, zone, sight.good, sight.bad, now - late};
 }
 
-void Exchange::take_finding(const Finding& finding, double born) {
+// Findings are passed on without proof, so a node could make up another's. What did not come from its keeper itself
+// waits until two nodes said the same of it, and is passed on no sooner: who lies alone is one.
+void Exchange::take_finding(const Finding& finding, double born, int from) {
     if (finding.keeper >= terms_.nodes || finding.keeper == terms_.node) return;  // its own it knows
     if (spread_.size() >= kSubjectsMost * kKeepersHeard && !spread_.contains({finding.subject, finding.keeper})) return;
-    const auto [at, fresh] = spread_.try_emplace({finding.subject, finding.keeper});
-    Spread& s = at->second;
-    if (!fresh && finding.stamp < s.finding.stamp) return;
-    if (!fresh && finding.stamp == s.finding.stamp) {
-        // By another way: the older account counts, since time on the way may go uncounted and is never made up.
+    Spread& s = spread_[{finding.subject, finding.keeper}];
+    const auto same = std::find_if(s.told.begin(), s.told.end(), [&](const Told& t) {
+        return t.from == from && t.stamp == finding.stamp && t.zones == finding.zones;
+    });
+    // Again, by another way: the older account counts, since time on the way may go uncounted and is never made up.
+    if (same != s.told.end()) {
+        same->born = std::min(same->born, born);
+    } else {
+        s.told.push_back({from, finding.stamp, finding.zones, finding.voices, born});
+        const auto newer = [](const Told& x, const Told& y) { return std::tie(x.stamp, x.from, x.zones) > std::tie(y.stamp, y.from, y.zones); };
+        std::sort(s.told.begin(), s.told.end(), newer);
+        int own = 0;
+        std::erase_if(s.told, [&](const Told& t) { return t.from == from && ++own > kToldEach; });
+        if (s.told.size() > kToldMost) s.told.resize(kToldMost);
+    }
+    s.finding.subject = finding.subject;
+    s.finding.keeper = finding.keeper;
+    weigh(s);
+}
+
+// The newest that its keeper said here, or that of two nodes both have said or passed: by what is held alone, so in
+// whatever order it came.
+void Exchange::weigh(Spread& s) {
+    const Told* best = nullptr;
+    for (const Told& t : s.told) {  // newest first
+        const bool sure = t.from == s.finding.keeper || std::any_of(s.told.begin(), s.told.end(), [&t](const Told& other) {
+                              return other.from != t.from && other.zones == t.zones && other.stamp >= t.stamp;
+                          });
+        if (sure && best == nullptr) best = &t;
+    }
+    if (best == nullptr || (s.stands && best->stamp < s.finding.stamp)) return;
+    double born = best->born;
+    for (const Told& t : s.told) {
+        if (t.stamp == best->stamp && t.zones == best->zones) born = std::min(born, t.born);
+    }
+    if (s.stands && best->stamp == s.finding.stamp) {
         s.born = std::min(s.born, born);
         return;
     }
-    if (fresh || s.finding.zones != finding.zones) s.said = 0;
-    s.finding = finding;
+    if (!s.stands || s.finding.zones != best->zones) s.said = 0;
+    s.finding.stamp = best->stamp;
+    s.finding.zones = best->zones;
+    s.finding.voices = best->voices;
     s.born = born;
+    s.stands = true;
 }
 
 // ---- keeping --------------------------------------------------------------------------------------------
@@ -282,7 +324,7 @@
 
 bool Exchange::found_by_another(Subject subject, int zone, double now) const {
     for (auto at = spread_.lower_bound({subject, -1}); at != spread_.end() && at->first.first == subject; ++at) {
-        const bool fresh = now - at->second.born <= kFindingKept;
+        const bool fresh = at->second.stands && now - at->second.born <= kFindingKept;
         if (fresh && at->first.second != terms_.node && (at->second.finding.zones & bit(zone)) != 0) return true;
     }
     return false;
@@ -337,6 +379,7 @@
     const auto ticks = static_cast<std::uint32_t>((now - began_) / kTick) + 1;
     s.finding = {subject, terms_.node, {start_, ticks}, found, kept.voices, 0};
     s.born = now;
+    s.stands = true;
 }
 
 // Two of the subject's keepers must say so, and more than say otherwise: one alone may be wrong, or lie.
@@ -344,7 +387,7 @@
     int say = 0, deny = 0;
     for (const int keeper : keepers_now(subject, now)) {
         const auto at = spread_.find({subject, keeper});
-        if (at == spread_.end() || now - at->second.born > kFindingKept) continue;
+        if (at == spread_.end() || !at->second.stands || now - at->second.born > kFindingKept) continue;
         // What it found in an earlier life is void: nothing of that is kept there any more.
         if (keeper != terms_.node && at->second.finding.stamp.start < members_.of(keeper).start) continue;
         ++((at->second.finding.zones & bit(terms_.zone)) != 0 ? say : deny);
@@ -413,7 +456,11 @@
     report_purse_ = std::min(report_purse_ + more, most);
     gossip_purse_ = std::min(gossip_purse_ + more, most);
     more_purse_ = std::min(more_purse_ + more, most);  // zones and limits: spent where they are not as usual
-    std::erase_if(spread_, [now](const auto& entry) { return now - entry.second.born > kFindingKept; });
+    for (auto& [key, s] : spread_) {
+        std::erase_if(s.told, [now](const Told& t) { return now - t.born > kFindingKept; });
+        if (now - s.born > kFindingKept) s.stands = false;
+    }
+    std::erase_if(spread_, [](const auto& entry) { return !entry.second.stands && entry.second.told.empty(); });
     std::erase_if(keepers_, [now](const auto& entry) { return now - entry.second.first > kOldest; });
     if (terms_.nodes > 1) {
         report(now, out);
@@ -458,11 +505,11 @@
     const std::vector<Zones::Order> changed = zones_.tick(now, voters_, static_cast<std::int64_t>(wall / Zones::turn_length()));
     zone_orders_.insert(zone_orders_.end(), changed.begin(), changed.end());
     const std::vector<int> owed = zones_.owed();
-    if (!zones_.uneasy(now) && !zones_.news() && owed.empty()) return;
+    if (!zones_.uneasy(now) && zones_.news() == 0 && owed.empty()) return;
     const auto say = [&](int to) { return send(to, headed(to, now), more_purse_, out); };
     for (const int to : owed) say(to);
-    if (voters_.size() < 2 || (!zones_.news() && now - zones_said_ < kZoneAgain)) return;
-    for (int n = 0; n < (zones_.news() ? kZoneNewsEach : 1); ++n) {
+    if (voters_.size() < 2 || (zones_.news() == 0 && now - zones_said_ < kZoneAgain)) return;
+    for (int n = 0; n < (zones_.news() > kZoneNewsMany ? kZoneNewsMost : zones_.news() > 0 ? kZoneNewsEach : 1); ++n) {
         const auto at = static_cast<std::size_t>(draw() * static_cast<double>(voters_.size() - 1));
         if (!say(voters_[at] == terms_.node ? voters_.back() : voters_[at])) return;
         zones_said_ = now;
@@ -507,6 +554,7 @@
     for (auto& [subject, own] : own_) {
         if (now - own.told < kTellAgain || !own.any) continue;
         const auto spoken = spread_.lower_bound({subject, -1});
+        // By any finding that goes round, also one that only waits: all it makes a node do is tell what it sees.
         const bool watched = spoken != spread_.end() && spoken->first.first == subject;
         if (!own.news && !watched) continue;
         const std::vector<int>& heard = keepers_now(subject, now);
@@ -541,7 +589,9 @@
 // again and again with its age, so a gap closes by itself, and whatever is not said again is gone by its bound.
 void Exchange::gossip(double now, std::vector<Outgoing>& out) {
     // A finding that changed does not wait for its turn: it goes on at each step until it was passed on a few times.
-    const bool news = std::any_of(spread_.begin(), spread_.end(), [](const auto& entry) { return entry.second.said < kNewsSaid; });
+    const bool news = std::any_of(spread_.begin(), spread_.end(), [this](const auto& entry) {
+        return entry.second.stands && entry.second.said < (entry.first.second == terms_.node ? kOwnSaid : kNewsSaid);
+    });
     if (!news && now - gossiped_ < kGossipEvery * (0.75 + 0.5 * draw())) return;
     std::vector<int> others = there_;
     std::erase(others, terms_.node);
@@ -555,12 +605,17 @@
     Datagram d = headed(to, now);
     d.alive = members_.freshest(now, kAliveMost);
     std::vector<Spread*> findings;
-    for (auto& [key, s] : spread_) findings.push_back(&s);
+    for (auto& [key, s] : spread_) {
+        if (s.stands) findings.push_back(&s);
+    }
     constexpr std::size_t kEach = 22;  // bytes of a finding at the most, but for numbers that no fleet reaches
     const std::size_t room = (kDatagramMost - std::min(kDatagramMost, encode(d).size() + 4)) / kEach;
     const auto first = findings.begin() + static_cast<std::ptrdiff_t>(std::min(room, findings.size()));
-    std::partial_sort(findings.begin(), first, findings.end(), [](const Spread* a, const Spread* b) {
-        const int x = std::min(a->said, kSaidEnough), y = std::min(b->said, kSaidEnough);
+    std::partial_sort(findings.begin(), first, findings.end(), [&](const Spread* a, const Spread* b) {
+        const auto turn = [this](const Spread* s) {  // its own it says more often: only from it are they sure at once
+            return s->finding.keeper == terms_.node ? std::max(0, std::min(s->said, kOwnSaid) - kOwnSaid + kSaidEnough) : std::min(s->said, kSaidEnough);
+        };
+        const int x = turn(a), y = turn(b);
         return x != y ? x < y : a->born > b->born;
     });
     findings.erase(first, findings.end());
@@ -587,6 +642,7 @@
         for (const auto& [node, cell] : kept.cells) s.oldest_sight = std::max(s.oldest_sight, now - cell.born);
     }
     for (const auto& [key, spread] : spread_) {
+        if (!spread.stands) continue;
         if (s.verdicts.empty() || s.verdicts.back().subject != key.first) {
             const auto stands = standing_.find(key.first);
             s.verdicts.push_back({key.first, stands != standing_.end(),
--- a/src/fleet/exchange.h
+++ b/src/fleet/exchange.h
@@ -143,10 +143,19 @@
         double ended = -1e9;  // when it was last found well again
         double suspected = -1e9, watched_since = -1e9;
     };
+    struct Told {  // a finding as one node passed it on
+        int from = 0;
+        Stamp stamp;
+        std::uint32_t zones = 0;
+        int voices = 0;
+        double born = 0;
+    };
     struct Spread {  // a keeper's finding as it goes round
         Finding finding;
-        double born = 0;
-        int said = 0;  // times, by this node, since it changed
+        double born = -1e9;
+        bool stands = false;     // its keeper said so here, or two others that it did; else it only waits for that
+        std::vector<Told> told;  // the newest, few
+        int said = 0;            // times, by this node, since it changed
     };
     struct Stand {
         double since = 0;
@@ -158,7 +167,8 @@
     static int sum(const std::array<int, Own::kBuckets>& buckets);
     bool own_way_bad(double now);
     void take_sight(double now, int from, const Stamp& stamp, int zone, const Sight& sight, double late);
-    void take_finding(const Finding& finding, double born);
+    void take_finding(const Finding& finding, double born, int from);
+    static void weigh(Spread& s);
     void judge(double now);
     void judge(double now, Subject subject, Kept& kept);
     bool found_by_another(Subject subject, int zone, double now) const;
--- a/src/fleet/words.cpp
+++ b/src/fleet/words.cpp
@@ -8,9 +8,9 @@
 namespace brookrelay::fleet {
 namespace {
 
-constexpr std::uint32_t kHead = 12, kPerAlive = 2, kPerSight = 3, kPerFinding = 7, kPerZone = 3, kPerWant = 2, kPerGrant = 3;
+constexpr std::uint32_t kHead = 12, kPerAlive = 2, kPerSight = 3, kPerFinding = 7, kPerZone = 4, kPerWant = 2, kPerGrant = 3;
 constexpr std::uint32_t kZoneRoom = 64;  // a node and the zone it stands in go as one number
-constexpr std::uint32_t kNodesMost = 65536, kCountMost = 127, kLimitsMost = 4096, kCrumbsMost = 1'000'000;
+constexpr std::uint32_t kNodesMost = 65536, kCountMost = 127, kLimitsMost = 4096, kFallsSaid = 15, kCrumbsMost = 1'000'000;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -91,7 +91,8 @@
     while (!z.at_end()) {
         const int zone = as_int(z.next(kZonesMost - 1));
         const auto seen = static_cast<ZoneSight>(z.next(static_cast<std::uint32_t>(ZoneSight::strained)));
-        d.zones.push_back({zone, seen, as_int(z.next(kStepWell))});
+        const int step = as_int(z.next(kStepWell));
+        d.zones.push_back({zone, seen, step, as_int(z.next(kFallsSaid))});
     }
     while (!w.at_end()) {
         const int limit = as_int(w.next(kLimitsMost));
@@ -139,7 +140,7 @@
         put(age_steps(f.age));
     }
     list(d.zones.size(), kPerZone);
-    for (const ZoneVoice& v : d.zones) put(v.zone), put(v.sight), put(std::clamp(v.step, kStepLeft, kStepWell));
+    for (const ZoneVoice& v : d.zones) put(v.zone), put(v.sight), put(std::clamp(v.step, kStepLeft, kStepWell)), put(std::clamp(v.falls, 0, as_int(kFallsSaid)));
     list(d.wants.size(), kPerWant);
     for (const Want& w : d.wants) put(w.limit), put(w.crumbs);
     list(d.grants.size(), kPerGrant);
--- a/src/fleet/words.h
+++ b/src/fleet/words.h
@@ -56,6 +56,7 @@
     int zone = 0;
     ZoneSight sight = ZoneSight::nothing;
     int step = kStepWell;
+    int falls = 0;  // that it remembers: how careful it is
 };
 
 // Of a limit that belongs to the whole fleet, in crumbs of it: see fleet_limits.h.
--- a/src/fleet/zones.cpp
+++ b/src/fleet/zones.cpp
@@ -39,6 +39,7 @@
 constexpr int kThird = 3;            // one in so many strained words hold the steps, or take one back
 constexpr double kYoung = 5.0;       // s after a start in which it takes the others' step for its own
 constexpr int kYoungWords = 2;       // of so many: it errs to the careful side
+constexpr int kTrialNews = 48;       // datagrams of an answered trial
 constexpr int kNews = 16;            // datagrams of a change that do not wait
 constexpr double kAnswerApart = 1.0; // s between answers to one node
 constexpr double kDoubtAnswered = 2.0;  // s for which others' doubts are answered by what is seen here
@@ -151,7 +152,7 @@
         Pair& p = pair(v.zone);
         Cell& cell = p.said[from];
         if (stamp <= cell.stamp) continue;
-        cell = {stamp, v.sight, v.step, now - late};
+        cell = {stamp, v.sight, v.step, v.falls, now - late};
         const bool doubts = v.sight == ZoneSight::lost || v.step < kStepWell;
         if (doubts) p.doubted_by_others = now;
         // Who sees or does otherwise says so, or the one that doubts hears only those who doubt with it.
@@ -164,7 +165,7 @@
         // Who has just started, or woken, uses in full what others take back in steps, and is told so.
         differs = differs || (!said[z] && pairs_[z].step < kStepWell && !pairs_[z].hand);
         if (said[z] || at == pairs_[z].said.end() || stamp <= at->second.stamp) continue;
-        at->second = {stamp, ZoneSight::nothing, kStepWell, now - late};
+        at->second = {stamp, ZoneSight::nothing, kStepWell, 0, now - late};
     }
     if (!differs || std::count(owed_.begin(), owed_.end(), from) > 0) return;
     const auto [last, first] = answered_to_.try_emplace(from, -1e9);
@@ -196,7 +197,10 @@
 Zones::Tally Zones::tally(int zone, double now, const std::vector<int>& voters) const {
     const Pair& p = pair(zone);
     Tally t;
-    const auto count = [&](ZoneSight sight, int step) {
+    const auto count = [&](ZoneSight said, int step, double born) {
+        // Who was answered before this node left it says nothing of how it is now.
+        const bool before = p.step == kStepLeft && said != ZoneSight::lost && born <= p.since + kAnswerFresh;
+        const ZoneSight sight = before ? ZoneSight::nothing : said;
         t.lost += sight == ZoneSight::lost;
         t.answers += sight == ZoneSight::answers;
         t.strained += sight == ZoneSight::strained;
@@ -210,9 +214,11 @@
         const auto at = p.said.find(n);
         if (n == terms_.node || at == p.said.end() || now - at->second.born > kVoiceKept) continue;
         ++t.heard;
-        count(at->second.sight, at->second.step);
+        count(at->second.sight, at->second.step, at->second.born);
+        t.falls.push_back(at->second.falls);
     }
     std::sort(t.steps.begin(), t.steps.end());
+    std::sort(t.falls.begin(), t.falls.end());
     const ZoneSight own = sight(zone, now);
     t.lost += own == ZoneSight::lost;
     t.answers += own == ZoneSight::answers;
@@ -286,6 +292,8 @@
         return;
     }
     const Tally t = tally(zone, now, voters);
+    // As careful as two others are: else those who were not there at a fall would lead the rest back into the next.
+    if (p.step != kStepWell && t.falls.size() >= 2) p.falls = std::max(p.falls, std::min(t.falls[t.falls.size() - 2], kFallsMost));
     if (p.step != kStepLeft && leaves(zone, t, voters.size(), now)) return enter(zone, kStepLeft, now);
     if (p.step == kStepWell) {
         if (now - p.since > kCalm) p.falls = 0;
@@ -318,6 +326,10 @@
         const bool lost = sight(z, now) == ZoneSight::lost;
         if (lost && !p.was_lost) news_ = kNews;
         p.was_lost = lost;
+        // A trial that was answered concerns all at once: they wait for it, and hear of it from this node alone.
+        const bool answered = p.step == kStepLeft && sight(z, now) == ZoneSight::answers;
+        if (answered && !p.was_answered) news_ = std::min(kTrialNews, 3 * static_cast<int>(voters.size()));
+        p.was_answered = answered;
         const bool left = p.step == kStepLeft;
         const Order order{z, part_of(p.step), !left ? 0 : !p.hand && tries(z, voters, turn) ? kTryApart : kNever};
         if (order.part == p.told.part && order.apart == p.told.apart) continue;
@@ -342,7 +354,7 @@
         const int step = p.hand ? kStepWell : p.step;
         const ZoneSight seen = sight(z, now);
         const bool asked = now - p.doubted_by_others <= kDoubtAnswered;
-        if (seen == ZoneSight::lost || step < kStepWell || asked) all.push_back({z, seen, step});
+        if (seen == ZoneSight::lost || step < kStepWell || asked) all.push_back({z, seen, step, p.falls});
     }
     return all;
 }
--- a/src/fleet/zones.h
+++ b/src/fleet/zones.h
@@ -53,7 +53,7 @@
     std::vector<Order> tick(double now, const std::vector<int>& voters, std::int64_t turn);
 
     std::vector<ZoneVoice> voices(double now) const;  // what is not as usual, and what answers doubts of others
-    bool news() const { return news_ > 0; }           // that does not wait
+    int news() const { return news_; }                // datagrams that do not wait
     void told() { news_ -= news_ > 0; }
     bool uneasy(double now) const { return !voices(now).empty(); }
     std::vector<int> owed();                          // to whom an answer is due, once
@@ -65,6 +65,7 @@
         Stamp stamp;
         ZoneSight sight = ZoneSight::nothing;
         int step = kStepWell;
+        int falls = 0;
         double born = -1e9;
     };
     struct Pair {  // from this node's zone to that
@@ -72,7 +73,7 @@
         std::array<Subject, 2> silent_at{};     // the first since the last answer
         int silent_count = 0, run = 0;          // of them, and of endings
         double usual_silent = 0, usual_answers = 4;  // before that run, the newest twenty or so
-        bool was_lost = false;
+        bool was_lost = false, was_answered = false;
         std::array<std::array<int, 3>, 4> ends{};  // by kind, in buckets of a quarter of a second
         std::int64_t turn = 0;
         std::map<int, Cell> said;
@@ -87,7 +88,7 @@
     };
     struct Tally {
         int lost = 0, answers = 0, strained = 0, heard = 0, at_least = 0, further = 0, below = 0, taken = 0;
-        std::vector<int> steps;
+        std::vector<int> steps, falls;
     };
 
     Pair& pair(int zone) { return pairs_[static_cast<std::size_t>(zone)]; }
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -450,6 +450,39 @@
     }
 }
 
+// It says of all others' keepers that they find caches bad, newer than these say themselves; then that none is, while one is.
+TEST(Fleet, ANodeThatMakesUpOthersFindingsMovesNobody) {
+    for (const bool sick_one : {false, true}) {
+        World w(12, 1, 8);
+        w.run(4);
+        if (sick_one) w.fate = sick;
+        double most = 0;
+        for (int i = 0; i < 60; ++i) {
+            for (int to = 0; to < 12; ++to) {
+                if (to == 4) continue;
+                for (int keeper = 0; keeper < 12; ++keeper) {
+                    if (keeper == 4) continue;
+                    Datagram d;
+                    d.node = 4;
+                    d.stamp = {1000, static_cast<std::uint32_t>((w.now() - 100) / kTick) + static_cast<std::uint32_t>(keeper)};
+                    const Stamp later{3'000'000'000U, static_cast<std::uint32_t>(i * 100)};
+                    for (Subject s = 1; s <= 6; ++s) d.findings.push_back({s, keeper, later, sick_one ? 0U : 1U, 99, 0});
+                    w.send(4, to, encode(d));
+                }
+            }
+            w.run(0.25);
+            const auto others = [](int n) { return n != 4; };
+            for (Subject s = 1; s <= World::kCaches; ++s) {
+                if (!sick_one || s != kSick) most = std::max(most, w.told(s, others));
+            }
+        }
+        EXPECT_EQ(most, 0);
+        if (sick_one) {
+            EXPECT_GE(w.told(kSick, [](int n) { return n != 4; }), 0.5) << "nor does it hide one";
+        }
+    }
+}
+
 TEST(Fleet, TwoHalvesKnowEachTheirOwnAndAgreeAgainAfterTheCut) {
     std::vector<double> agreed;
     for (std::uint64_t seed = 1; seed <= trials(); ++seed) {
