--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -80,6 +80,7 @@
         {"fleet zones --address 127.0.0.1:1 --leave a --take-back a", 2, "excludes"},
         {"fleet zones --address 127.0.0.1:1 --leave a", 1, "127.0.0.1:1: "},
         {"check " + root + "/scenarios/zone-lost.toml", 0, "12 nodes"},
+        {"check " + root + "/scenarios/uneven-tenants.toml", 0, "12 nodes"},
         {"check " + root + "/scenarios/festival.toml", 0, "a scenario"},
         {"rehearse nowhere", 2, "there is no scenario 'nowhere'"},
         {"rehearse festival --seeds x", 2, "expected seeds"},
