A node asks its lenders for more where what they lent is short; an origin not sent to is not retried

(2) A forward that the node itself did not send to the origin, past its part, was tried again for a token, and declined again (again() in the module). (3) A zone left by hand was taken where `zones` or `verdicts` is off, and did nothing. (4) An order for a zone that other settings no longer have was clamped onto another zone. (5) Who is alone in the fleet did not follow an operator's hand on a zone.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -319,11 +319,11 @@
         suspect(c, now);
         c.doubt.next_trial = now + apart * draw();
     }
-    // The nodes of this zone leave a zone as one, and take it back by the same part of its keys at each. Left,
-    // it is a doubt that no one answer ends. Covers zones lost or cut off, before this node's own three
-    // failures; does harm when a zone that answers is left, which its few trials end.
+    // The nodes of this zone leave a zone as one and take it back by the same part of its keys at each. Left,
+    // no one answer ends its doubt. Covers zones lost or cut off; harms if one that answers is left.
     void zone_share(double now, int zone, double part, double apart) override {
-        Zone& z = zones_[static_cast<std::size_t>(std::clamp(zone, 0, pooled() - 1))];
+        if (zone < 0 || zone >= pooled()) return;  // of other settings' zones
+        Zone& z = zones_[static_cast<std::size_t>(zone)];
         for (std::size_t i = 0; part == 0 && z.part > 0 && i < caches_.size(); ++i) {
             if (caches_[i].zone == zone) call_back(static_cast<int>(i), now, 0);
         }
@@ -612,8 +612,8 @@
             c.seen = walk_turn_;
             ++seen;
             if (!may_forward(v, p->cache, now) || (!last_resort && tried(v, p->cache))) continue;
-            const double part = zones_[static_cast<std::size_t>(c.zone)].part;
-            if (!last_resort && part > 0 && unit(mix(v.what.key * 7 ^ kRingSeed)) >= part) continue;
+            const double part = last_resort ? 1 : zones_[static_cast<std::size_t>(c.zone)].part;
+            if (part > 0 && part < 1 && unit(mix(v.what.key * 7 ^ kRingSeed)) >= part) continue;
             // What a crowded cache declines would be more than its even share for a cold one next to it.
             if (declined && warmth(c, now) < 1) continue;
             if (!welcome_cold(c, v, zone, now)) continue;
@@ -963,14 +963,15 @@
         send(v, cache, v.useful - now, now);
     }
     // After a failed forward: another if rule 2, the time left and the budget all allow it; but in a jam none
-    // goes to a further cache: all are full, and each try costs one of them a handshake and a place in vain.
+    // to a further cache: all are full, and each try costs one of them a handshake and a place in vain; and
+    // none to an origin that the node did not send to: past its part of the fleet's limit it would not again.
     void again(Invocation& v, double now, const Cache& from, Ending ending) {
         // What a lost zone refused cost nobody work, so it needs no token while another zone stands.
         const auto stands = [](const Zone& z) { return !z.doubt.held; };
         const bool free = ending == Ending::refused && lost_with_zone(from, ending) &&
                           std::any_of(zones_.begin(), zones_.end() - 1, stands);
-        if (v.useful - now > 2 * deployment_.tick &&
-            (free || (retries_ >= 1 && (from.origin || strained_ <= kJamStrain)))) {
+        const bool may = from.origin ? ending != Ending::not_sent : strained_ <= kJamStrain;
+        if (v.useful - now > 2 * deployment_.tick && (free || (retries_ >= 1 && may))) {
             if (!free) retries_ -= 1;
             from.origin ? to_origin(v, now) : to_cache(v, now);
             return;
--- a/src/fleet/exchange.cpp
+++ b/src/fleet/exchange.cpp
@@ -6,6 +6,8 @@
 #include <numeric>
 #include <tuple>
 
+#include "mix.h"
+
 namespace brookrelay::fleet {
 namespace {
 
@@ -49,13 +51,6 @@
 constexpr int kZoneNewsMany = 16;        // more than so many are to go
 constexpr double kZoneAgain = 0.5;       // s between words on zones that are no news
 
-std::uint64_t mix(std::uint64_t x) {
-    x += 0x9e3779b97f4a7c15ULL;
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-    return x ^ (x >> 31);
-}
-
 std::uint32_t bit(int zone) { return 1U << std::clamp(zone, 0, kZonesMost - 1); }
 
 // What a node hears of others a second, when all say what they may: by it the times of Members are set.
@@ -240,14 +235,12 @@
 // The newest that its keeper said here, or that of two nodes both have said or passed: by what is held alone, so in
 // whatever order it came.
 void Exchange::weigh(Spread& s) {
-    const Told* best = nullptr;
-    for (const Told& t : s.told) {  // newest first
-        const bool sure = t.from == s.finding.keeper || std::any_of(s.told.begin(), s.told.end(), [&t](const Told& other) {
-                              return other.from != t.from && other.zones == t.zones && other.stamp >= t.stamp;
-                          });
-        if (sure && best == nullptr) best = &t;
-    }
-    if (best == nullptr || (s.stands && best->stamp < s.finding.stamp)) return;
+    const auto best = std::find_if(s.told.begin(), s.told.end(), [&s](const Told& t) {  // newest first
+        return t.from == s.finding.keeper || std::any_of(s.told.begin(), s.told.end(), [&t](const Told& other) {
+                   return other.from != t.from && other.zones == t.zones && other.stamp >= t.stamp;
+               });
+    });
+    if (best == s.told.end() || (s.stands && best->stamp < s.finding.stamp)) return;
     double born = best->born;
     for (const Told& t : s.told) {
         if (t.stamp == best->stamp && t.zones == best->zones) born = std::min(born, t.born);
@@ -466,9 +459,9 @@
         report(now, out);
         judge(now);
         gossip(now, out);
-        if (terms_.zones_as_one) speak_of_zones(now, wall, out);
         if (terms_.limits > 0) speak_of_limits(now, out);
     }
+    if (terms_.zones_as_one) speak_of_zones(now, wall, out);  // also alone: an operator's hand needs no other node
     return out;
 }
 
--- a/src/fleet/fleet_limits.cpp
+++ b/src/fleet/fleet_limits.cpp
@@ -1,7 +1,7 @@
 #include "fleet_limits.h"
 
 #include <algorithm>
-#include <cmath>
+#include <set>
 
 namespace brookrelay::fleet {
 namespace {
@@ -11,7 +11,7 @@
 constexpr double kHeadroom = 1.25;      // times its need a node keeps before it lends, and asks for
 constexpr double kLeastAsked = 0.05;    // of its own part: less is not worth a datagram
 constexpr double kAskEvery = 0.25;      // s
-constexpr std::size_t kAskNew = 4;      // nodes at a time, beside those that lend already
+constexpr std::size_t kAskMore = 4;     // nodes at a time for more than they lend
 constexpr double kAskAgain = 1.25;      // s before a lease lapses that its lender is asked for it anew
 constexpr double kNeedKept = 2.0;       // s that a need counts which is not told again
 constexpr std::size_t kPendingMost = 256;
@@ -105,24 +105,29 @@
         if (now - o.needed_at > kNeedKept) o.need = 0;
         const double want = o.need * kHeadroom - own(o, now);
         if (want < kLeastAsked * base_) continue;
-        // Those that lend already are asked for the same again in time, of what is still needed.
+        // Those that lend already are asked for the same again in time, of what is still needed; what is then short, of
+        // some drawn by chance, lenders among them: what was enough once may not be all that they can spare.
         double left = want;
+        std::set<int> asked;
         for (const auto& [node, with] : o.borrowed) {
-            const double held = largest(with, now);
-            const double keep = std::min(left, held);
+            const double keep = std::min(left, static_cast<double>(largest(with, now)));
             left -= keep;
-            if (longest(with) - now < kAskAgain && keep >= 1) asks.push_back({node, {l, static_cast<std::uint32_t>(keep)}});
+            if (longest(with) - now >= kAskAgain || keep < 1) continue;
+            asks.push_back({node, {l, static_cast<std::uint32_t>(keep)}});
+            asked.insert(node);
         }
-        if (left < kLeastAsked * base_ || others.empty()) continue;
-        const std::size_t first = static_cast<std::size_t>(draw * static_cast<double>(others.size()));
-        std::size_t asked = 0;
-        for (std::size_t n = 0; n < others.size() && asked < kAskNew && left >= 1; ++n) {
+        if (left < kLeastAsked * base_) continue;
+        const auto first = static_cast<std::size_t>(draw * static_cast<double>(others.size()));
+        std::size_t more = 0;
+        for (std::size_t n = 0; n < others.size() && more < kAskMore && left >= 1; ++n) {
             const int other = others[(first + n) % others.size()];
-            if (o.borrowed.contains(other)) continue;
-            const auto crumbs = std::min(static_cast<std::uint32_t>(left), most_lent_);
+            const auto lends = o.borrowed.find(other);
+            const std::uint32_t held = lends == o.borrowed.end() ? 0 : largest(lends->second, now);
+            if (held >= most_lent_ || !asked.insert(other).second) continue;
+            const std::uint32_t crumbs = std::min(held + static_cast<std::uint32_t>(left), most_lent_);
             asks.push_back({other, {l, crumbs}});
-            left -= crumbs;
-            ++asked;
+            left -= crumbs - held;
+            ++more;
         }
     }
     return asks;
--- a/src/fleet/zones.cpp
+++ b/src/fleet/zones.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "mix.h"
+
 namespace brookrelay::fleet {
 namespace {
 
@@ -45,13 +47,6 @@
 constexpr double kDoubtAnswered = 2.0;  // s for which others' doubts are answered by what is seen here
 constexpr double kBucket = 0.25;
 
-std::uint64_t mix(std::uint64_t x) {
-    x += 0x9e3779b97f4a7c15ULL;
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-    return x ^ (x >> 31);
-}
-
 double part_of(int step) { return step <= kStepLeft ? 0 : std::exp2(step - kStepWell); }
 
 }  // namespace
@@ -274,10 +269,10 @@
 
 void Zones::enter(int zone, int step, double now) {
     Pair& p = pair(zone);
+    // From a step on the way back, or left again soon after it was in full use.
+    const bool again = p.step < kStepWell || (step == kStepLeft && p.left_at > began_ && now - p.since < kCalm);
+    if (step < p.step && again) p.falls = std::min(p.falls + 1, kFallsMost);
     if (step == kStepLeft) p.left_at = now;
-    if (step < p.step && p.step < kStepWell) p.falls = std::min(p.falls + 1, kFallsMost);
-    if (step < p.step && p.step == kStepWell && now - p.since < kCalm && p.left_at > 0 && step == kStepLeft && p.since > began_)
-        p.falls = std::min(p.falls + 1, kFallsMost);
     p.step = step;
     p.since = now;
     p.answers_since = -1e9;
--- a/src/kit/report.cpp
+++ b/src/kit/report.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <stdexcept>
 
+#include "fleet_views.h"
 #include "svg.h"
 #include "wire.h"
 
@@ -289,6 +290,7 @@
     say("daemons          " + format("%.1f us", v.invocations > 0 ? 1e6 * r.daemon_cpu / static_cast<double>(v.invocations) : 0) +
         " of processor an invocation, " + format("%.1f MB", r.daemon_rss_mb) + " at the most; the kit was late " +
         format("%.1f ms", 1e3 * v.late_worst) + " at the worst, " + percent(v.late_share) + " of the day");
+    out += zones_text(s, r);
     for (std::size_t i = 0; i < std::min(v.findings.size(), std::size_t{3}); ++i) {
         const audit::Finding& f = v.findings[i];
         say("broken: rule " + std::to_string(f.rule) + " at " + format("%.3f s", f.at) +
--- a/src/model/small_limits.h
+++ b/src/model/small_limits.h
@@ -15,6 +15,7 @@
   public:
     enum Act { nothing, need_moves, all_lost, all_late, answers_late, all_doubled, giver_restarts, taker_restarts, taker_frozen, cut_one, acts };
     static constexpr double kLong = 0.75;
+    static constexpr int kRest = 40;
     static const std::vector<std::string>& names() {
         static const std::vector<std::string> all{"nothing", "the demand moves", "all words lost", "all words late", "answers late", "all words doubled",
                                                   "a lender starts anew", "the taker starts anew", "the taker stands still", "one cut off"};
@@ -22,6 +23,7 @@
     }
     SmallLimits() {
         for (int n = 0; n < 3; ++n) nodes_.push_back(fleet::Limits({n, 3, 1}, -10));
+        for (int n = 0; n < 2; ++n) step(nothing);
     }
     std::string step(int act) {
         now_ += kLong;
--- a/src/model/small_zones.h
+++ b/src/model/small_zones.h
@@ -16,13 +16,16 @@
   public:
     enum Act { nothing, zone_turns, words_lost, one_deaf, one_mute, words_late, one_restarts, one_frozen, acts };
     static constexpr double kLong = 0.5;
+    static constexpr int kRest = 80;
     static const std::vector<std::string>& names() {
         static const std::vector<std::string> all{"nothing", "the zone goes or comes back", "all words lost", "one hears nobody", "nobody hears one",
                                                   "an old word comes again", "one starts anew", "one stands still"};
         return all;
     }
-    explicit SmallZones(bool liar) : liar_(liar) {
+    SmallZones(bool liar, bool lost) : liar_(liar) {
         for (int n = 0; n < 3; ++n) nodes_.push_back(fleet::Zones({n, 0, 2, 4, {}}, 0));
+        if (lost) step(zone_turns);
+        for (int n = 0; lost && n < 4; ++n) step(nothing);
     }
     // Empty, or what was broken.
     std::string step(int act) {
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -663,12 +663,14 @@
 // A zone is left here, or taken back, by an operator's word: this node alone, through the states of the fleet's own.
 void Node::zone_by_hand(std::uint64_t caller, const std::string& name, bool out) {
     inbox_.emplace_back([this, caller, name, out](double now) {
-        const auto say = [this, caller](int status, const char* text) {
+        const auto say = [this, caller](int status, const std::string& text) {
             to_do_.emplace_back([this, caller, status, text] { management_.answer(caller, status, text); });
         };
         const std::string kept = kZoneByHand + name;
         if (talk_ == nullptr) return say(404, "this node does not talk with others: [fleet] in the operators' file");
         if (index_of(station_.names.zones, name) < 0) return say(404, "no such zone");
+        const std::string against = talk_->against_zones();
+        if (!against.empty()) return say(409, against);
         if (out && station_.names.zones.size() < 2) return say(409, "the only zone cannot be left");
         if (!(out ? by_hand_.take_out(kept) : by_hand_.call_back(kept, wall_less_monotonic_ + now)))
             return say(503, "could not be written down, nothing has changed");
--- a/src/net/talk.cpp
+++ b/src/net/talk.cpp
@@ -60,6 +60,7 @@
       addresses_(s.peers),
       zones_(s.names.zones),
       verdicts_(o.fleet_verdicts),
+      zones_as_one_(o.fleet_zones),
       due_(std::move(due)),
       found_(std::move(found)),
       zone_told_(std::move(zone_told)),
@@ -176,6 +177,10 @@
     stalls_ = stalls;
 }
 
+std::string Talk::against_zones() const {
+    return !zones_as_one_ ? "fleet.zones is off in the operators' file" : !verdicts_ ? "fleet.verdicts is off in the operators' file" : "";
+}
+
 void Talk::zones_anew(double now) {
     for (const auto& [zone, order] : zone_orders_) {
         if (verdicts_) zone_told_(now, order);
@@ -189,12 +194,12 @@
 
 void Talk::ended(double now, std::uint64_t forward, const std::string& server, int zone, Ending ending, double took,
                  double latency_objective) {
-    const bool overdue = out_.erase(forward) == 0;
+    const bool overdue = out_.erase(forward) == 0;  // and called bad, and silent, then
+    const fleet::Subject subject = fleet::subject_of(server);
     const auto zone_seen = fleet::zone_seen_as(ending, took, latency_objective);
-    if (zone_seen && !(overdue && *zone_seen == fleet::ZoneEnd::silent)) exchange_.zone_ended(now, zone, fleet::subject_of(server), *zone_seen);
-    if (overdue) return;  // it was called bad then
+    if (zone_seen && !(overdue && *zone_seen == fleet::ZoneEnd::silent)) exchange_.zone_ended(now, zone, subject, *zone_seen);
     const auto seen = fleet::seen_as(ending, took, latency_objective);
-    if (seen) exchange_.ended(now, fleet::subject_of(server), *seen);
+    if (seen && !overdue) exchange_.ended(now, subject, *seen);
 }
 
 void Talk::listed(const std::vector<std::string>& servers, int in_own_zone) {
--- a/src/net/talk.h
+++ b/src/net/talk.h
@@ -40,6 +40,8 @@
     void tenant_asked(double now, int tenant);
     bool origin_may(double now);
     void settle_in(const Deployment& deployment);  // other quotas from now on
+    // Why an operator's word on a zone would do nothing here; empty: it would.
+    std::string against_zones() const;
     void zone_by_hand(double now, int zone, bool out) { exchange_.zone_by_hand(now, zone, out); }
     void zones_anew(double now);  // tells again what stands: the module was given other settings
     void listed(const std::vector<std::string>& servers, int in_own_zone);
@@ -54,7 +56,7 @@
     Log& log_;
     const std::string own_;
     const std::vector<std::string> addresses_, zones_;
-    const bool verdicts_;
+    const bool verdicts_, zones_as_one_;
     std::function<void()> due_;
     Found found_;
     ZoneTold zone_told_;
--- a/tests/troubles_test.cpp
+++ b/tests/troubles_test.cpp
@@ -560,6 +560,24 @@
     assert(part_there(0.01) == 1);
 }
 
+// Past its part of the fleet's limit the node sends nothing to the origin: who asked is answered at once, and what is saved
+// up for further forwards stays for those that failed.
+void what_was_not_sent_to_the_origin_is_answered_at_once() {
+    for (const Ending ending : {Ending::not_sent, Ending::errored}) {
+        Fleet fleet(4);
+        fleet.start();
+        for (int n = 0; n < 40; ++n) {  // they earn further forwards
+            fleet.now += 0.01;
+            fleet.end(fleet.arrive(static_cast<std::uint64_t>(n) * 7919), 0, Ending::succeeded, 0.01, true);
+        }
+        const int write = fleet.arrive(5, 1, true);
+        const std::size_t sent = fleet.host.sent.size();
+        fleet.end(write, 0, ending, 0);
+        assert(fleet.finals(write) == (ending == Ending::not_sent ? 1 : 0));
+        assert(fleet.host.sent.size() == sent + (ending == Ending::not_sent ? 0 : 1));
+    }
+}
+
 // A tenant within its share that comes to one node alone looks greedy there; what other nodes leave to this one tells.
 void a_tenants_part_is_what_other_nodes_leave_to_this_one() {
     for (const bool told : {false, true}) {
@@ -587,6 +605,7 @@
 }  // namespace
 
 int main() {
+    what_was_not_sent_to_the_origin_is_answered_at_once();
     a_tenants_part_is_what_other_nodes_leave_to_this_one();
     a_zone_is_left_and_taken_back_by_the_fleets_word();
     what_other_nodes_find_is_a_doubt_unless_own_answers_speak_against_it();
