--- a/tests/limit_days_test.cpp
+++ b/tests/limit_days_test.cpp
@@ -274,7 +274,7 @@
 // Where lists are asked for, all daemons are killed and start together: their first calls come at a rate that the number of
 // nodes does not raise, and who is turned away comes back later.
 TEST(LimitDays, CallsForListsOfNodesThatStartTogetherDoNotGrowWithTheFleet) {
-    for (const int nodes : {6, 12}) {
+    for (const int nodes : {6, 24}) {
         Scenario s = fleet_day(nodes, 1, 14);
         s.talk = false;
         s.discovery_asked = true;
