--- /dev/null
+++ b/src/kit/claimer.h
@@ -0,0 +1,79 @@
+// A peer that lies about limits: in the place of a node that is gone it says that it is there, and answers each question
+// for a part with the whole. It owns its socket and its thread, and tells no other lie.
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <chrono>
+#include <cstdint>
+#include <ctime>
+#include <map>
+#include <string>
+#include <thread>
+
+#include "fleet_limits.h"
+#include "words.h"
+
+namespace brookrelay::kit {
+
+class Claimer {
+  public:
+    explicit Claimer(int node) : node_(node) {}
+    ~Claimer() {
+        ends_ = true;
+        if (thread_.joinable()) thread_.join();
+    }
+    // At the address where that node listened for its peers; its own process must be gone.
+    void start(const std::string& address) {
+        thread_ = std::thread([this, address] { run(address); });
+    }
+    int claims() const { return claims_; }  // questions answered so
+
+  private:
+    using Udp = boost::asio::ip::udp;
+    void run(const std::string& address) {
+        boost::asio::io_context io;
+        Udp::socket socket(io, Udp::v4());
+        const std::size_t colon = address.find(':');
+        socket.bind({boost::asio::ip::make_address(address.substr(0, colon)), static_cast<unsigned short>(std::stoul(address.substr(colon + 1)))});
+        socket.non_blocking(true);
+        std::map<Udp::endpoint, std::uint32_t> lives;
+        fleet::Datagram said;
+        said.node = node_;
+        said.stamp = {static_cast<std::uint32_t>(std::time(nullptr)) + 100, 0};
+        const auto say = [&](const Udp::endpoint& to) {
+            said.stamp.number += 8;
+            said.start_of_yours = lives[to];
+            boost::system::error_code ignored;
+            socket.send_to(boost::asio::buffer(fleet::encode(said)), to, 0, ignored);
+        };
+        for (int turn = 0; !ends_; ++turn) {
+            std::array<char, 512> room{};
+            Udp::endpoint from;
+            boost::system::error_code none;
+            for (std::size_t n = 0; (n = socket.receive_from(boost::asio::buffer(room), from, 0, none)) > 0 && !none;) {
+                fleet::Datagram heard;
+                if (!fleet::decode({room.data(), n}, heard)) continue;
+                lives[from] = heard.stamp.start;
+                said.grants.clear();
+                for (const fleet::Want& w : heard.wants) said.grants.push_back({w.limit, fleet::kWhole, heard.stamp.number});
+                claims_ += !said.grants.empty();
+                if (!said.grants.empty()) say(from);
+            }
+            said.grants.clear();
+            for (const auto& [to, life] : lives) {
+                if (turn % 10 == 0) say(to);  // so that it counts as there
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(25));
+        }
+    }
+    const int node_;
+    std::atomic<bool> ends_ = false;
+    std::atomic<int> claims_ = 0;
+    std::thread thread_;
+};
+
+}  // namespace brookrelay::kit
--- a/tests/limit_days_test.cpp
+++ b/tests/limit_days_test.cpp
@@ -3,17 +3,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <atomic>
-#include <boost/asio/ip/udp.hpp>
 #include <chrono>
 #include <cstdio>
-#include <ctime>
-#include <map>
-#include <thread>
 
+#include "claimer.h"
 #include "days.h"
-#include "fleet_limits.h"
-#include "words.h"
 
 namespace brookrelay::kit {
 namespace {
@@ -124,61 +118,6 @@
     EXPECT_GT(last, first) << "it went above its earlier life, which others remember";
 }
 
-// In the place of one that was killed somebody answers each question for a part with the whole.
-class Claimer {
-  public:
-    ~Claimer() {
-        ends_ = true;
-        if (thread_.joinable()) thread_.join();
-    }
-    void start(const std::string& address) {
-        thread_ = std::thread([this, address] { run(address); });
-    }
-    int claims() const { return claims_; }
-
-  private:
-    using Udp = boost::asio::ip::udp;
-    void run(const std::string& address) {
-        boost::asio::io_context io;
-        Udp::socket socket(io, Udp::v4());
-        const std::size_t colon = address.find(':');
-        socket.bind({boost::asio::ip::make_address(address.substr(0, colon)), static_cast<unsigned short>(std::stoul(address.substr(colon + 1)))});
-        socket.non_blocking(true);
-        std::map<Udp::endpoint, std::uint32_t> lives;
-        fleet::Datagram said;
-        said.node = 3;
-        said.stamp = {static_cast<std::uint32_t>(std::time(nullptr)) + 100, 0};
-        const auto say = [&](const Udp::endpoint& to) {
-            said.stamp.number += 8;
-            said.start_of_yours = lives[to];
-            boost::system::error_code ignored;
-            socket.send_to(boost::asio::buffer(fleet::encode(said)), to, 0, ignored);
-        };
-        for (int turn = 0; !ends_; ++turn) {
-            std::array<char, 512> room{};
-            Udp::endpoint from;
-            boost::system::error_code none;
-            for (std::size_t n = 0; (n = socket.receive_from(boost::asio::buffer(room), from, 0, none)) > 0 && !none;) {
-                fleet::Datagram heard;
-                if (!fleet::decode({room.data(), n}, heard)) continue;
-                lives[from] = heard.stamp.start;
-                said.grants.clear();
-                for (const fleet::Want& w : heard.wants) said.grants.push_back({w.limit, fleet::kWhole, heard.stamp.number});
-                claims_ += !said.grants.empty();
-                if (!said.grants.empty()) say(from);
-            }
-            said.grants.clear();
-            for (const auto& [to, life] : lives) {
-                if (turn % 10 == 0) say(to);  // so that it counts as there
-            }
-            std::this_thread::sleep_for(std::chrono::milliseconds(25));
-        }
-    }
-    std::atomic<bool> ends_ = false;
-    std::atomic<int> claims_ = 0;
-    std::thread thread_;
-};
-
 TEST(LimitDays, WhoClaimsTheWholeGivesWhatOneNodeMay) {
     Scenario s = writing_day(15);
     all_at(s, {"n0"});
@@ -187,7 +126,7 @@
     s.troubles = {gone};
     std::string address;
     bool started = false;
-    Claimer claimer;
+    Claimer claimer(3);
     const Played p = play(s, 1, [&](const std::vector<std::string>& listens, const std::vector<std::string>&) { address = listens[3]; },
                           [&](double now, const std::string&) {
                               if (now >= 3 && !std::exchange(started, true)) claimer.start(address);
