--- a/src/kit/rehearsal.cpp
+++ b/src/kit/rehearsal.cpp
@@ -195,6 +195,12 @@
 
 void Day::place_node(int node, unsigned short port) {
     Node& n = nodes_[index(node)];
+    // A port that is free now may be another node's that has not started yet: that one's answer would pass for this one's.
+    const auto taken = [&](const Node& other) {
+        const std::string address = world_.host + ":" + std::to_string(port);
+        return &other != &n && (other.listen == address || other.talk.management == address);
+    };
+    while (std::any_of(nodes_.begin(), nodes_.end(), taken)) port = free_port(io_, world_.host);
     n.listen = world_.host + ":" + std::to_string(port);
     crowd_->node_at(node, {boost::asio::ip::make_address(world_.host), port});
 }
