--- a/tests/limit_days_test.cpp
+++ b/tests/limit_days_test.cpp
@@ -49,12 +49,13 @@
     int length = 15, used_from = 7;
 };
 
+Trouble with_nodes(TroubleKind kind, double at, double lasts, std::vector<int> nodes) {
+    Trouble t = trouble(kind, at, lasts);
+    t.nodes = std::move(nodes);
+    return t;
+}
+
 std::vector<Case> cases() {
-    const auto with_nodes = [](TroubleKind kind, double at, double lasts, std::vector<int> nodes) {
-        Trouble t = trouble(kind, at, lasts);
-        t.nodes = std::move(nodes);
-        return t;
-    };
     Trouble lossy = links(TroubleKind::lossy, 2, 11, {"room-a"}, {"room-a"}), doubled = links(TroubleKind::doubled, 2, 11, {"room-a"}, {"room-a"}),
             disorder = links(TroubleKind::reordered, 2, 11, {"room-a"}, {"room-a"});
     lossy.part = doubled.part = disorder.part = 0.3;
@@ -97,9 +98,7 @@
 TEST(LimitDays, WallClocksThatJumpMoveNoPart) {
     Scenario s = writing_day(15);
     all_at(s, {"n0"});
-    Trouble anew = trouble(TroubleKind::node_kill, 8, 0.4);
-    anew.nodes = {2};
-    s.troubles = {anew};
+    s.troubles = {with_nodes(TroubleKind::node_kill, 8, 0.4, {2})};
     const double jump = std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count() + 7;
     const Played p = play(s, 1, nullptr, nullptr, [jump](int node) {
         const char* by = node == 0 ? "3600" : node == 1 || node == 2 ? "-3600" : "0";
@@ -121,9 +120,7 @@
 TEST(LimitDays, WhoClaimsTheWholeGivesWhatOneNodeMay) {
     Scenario s = writing_day(15);
     all_at(s, {"n0"});
-    Trouble gone = trouble(TroubleKind::node_kill, 2, 20);
-    gone.nodes = {3};
-    s.troubles = {gone};
+    s.troubles = {with_nodes(TroubleKind::node_kill, 2, 20, {3})};
     std::string address;
     bool started = false;
     Claimer claimer(3);
@@ -134,16 +131,14 @@
     const double most = at_origin(p, 0, 14, true);
     std::printf("[ measured ] one that claims the whole, %d times: most in a second %.0f of %.0f\n", claimer.claims(), most, kOrigin);
     EXPECT_GT(claimer.claims(), 5);
-    EXPECT_LE(most, kOrigin + kOver + kOrigin * 15 / 16 / 6) << "what it had not, to the one that asks it";
+    EXPECT_LE(most, kOrigin + kOver) << "it asks each for no more than it needs, and of one takes no more than one may lend";
 }
 
 // Half of the daemons are told of a lower limit, then the rest: no second has more than the larger one, and once all know
 // it the lower one holds.
 TEST(LimitDays, ALimitThatIsLoweredAtSomeFirstAndThenAtAllHoldsAtEachMoment) {
     Scenario s = writing_day(16);
-    Trouble some = trouble(TroubleKind::limits, 7, 0), rest = trouble(TroubleKind::limits, 10, 0);
-    some.nodes = {0, 1, 2};
-    rest.nodes = {3, 4, 5};
+    Trouble some = with_nodes(TroubleKind::limits, 7, 0, {0, 1, 2}), rest = with_nodes(TroubleKind::limits, 10, 0, {3, 4, 5});
     some.origin = rest.origin = 30;
     s.troubles = {some, rest};
     const Played p = play(s);
--- a/tests/zone_days_test.cpp
+++ b/tests/zone_days_test.cpp
@@ -121,8 +121,7 @@
     const double gone = when_all(p.result, 6, in_room(0), left(1));
     std::printf("[ measured ] a cut between two zones: that pair left after %.2f s\n", gone - 6);
     ASSERT_GT(gone, 6) << p.told;
-    // They asked no other room: until the third answers, nothing does, and their own way might be at fault.
-    EXPECT_LE(gone, 6 + kLeave + 1);
+    EXPECT_LE(gone, 6 + kLeave + 0.25) << "nodes are asked four times a second: what is seen may be so much older";
     EXPECT_TRUE(always(p.result, in_room(1), whole(1)));
     EXPECT_TRUE(always(p.result, in_room(2), whole(1)));
     EXPECT_TRUE(always(p.result, in_room(0), whole(2))) << "which serves both now";
