HTTP answers without a length end with their connection, in order; a reset is no end

Such an answer was unsound by its head (read_response_head, src/net/http1.cpp: a missing Content-Length read as a bad one), so a whole value from the origin became an errored forward, and a list was never taken; Stream told its owner of an orderly end and of a reset as one event (Stream::receive), so nobody could have told them apart.

Stream remembers that its peer ended in order; a body without a length is whole then, never after a reset, nor where a length or a chunk was begun. Bounded by 4 MiB and the pool's budget, also where it never ends; the same for chunks (64 KiB before). Of an answer other than 200 the head says all, so a refusal that never ran counts at once, also for a non-idempotent write.

Tests: tests/races_test.cpp over real connections: nine answers of the origin, one that never ends, a refusal without a length, lists with and without a reset; text_test cuts each body at each byte.

--- a/src/kit/scripted_peer.cpp
+++ b/src/kit/scripted_peer.cpp
@@ -1,6 +1,7 @@
 #include "scripted_peer.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -66,6 +67,17 @@
 
 void Line::shut() const { shutdown(fd_, SHUT_RDWR); }
 
+void Line::end_sending() const { shutdown(fd_, SHUT_WR); }
+
+// The descriptor stays taken until the line goes, so that no other can come by its number.
+void Line::reset() {
+    const linger at_once{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    const int none = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    dup3(none, fd_, O_CLOEXEC);
+    close(none);
+}
+
 bool Line::more() {
     pollfd p{fd_, POLLIN, 0};
     need(poll(&p, 1, kPatienceMs) == 1, "what was waited for never came");
@@ -101,6 +113,12 @@
     need(listen(listener_, 0) == 0, "cannot listen");
 }
 
+void ScriptedPeer::resume() {
+    ending_ = false;
+    need(listen(listener_, kBacklog) == 0, "cannot listen");
+    acceptor_ = std::thread([this] { accept_all(); });
+}
+
 std::vector<std::string> ScriptedPeer::heard() {
     const std::lock_guard lock(mutex_);
     return heard_;
@@ -147,7 +165,8 @@
         if (!act.text.empty()) line.send(act.text);
         if (act.wait) act.wait();
         if (!act.rest.empty()) line.send(act.rest);
-        if (act.close) break;
+        if (act.reset) line.reset();
+        if (act.close || act.reset) break;
     }
     line.shut();
     ++ended;
--- a/src/kit/scripted_peer.h
+++ b/src/kit/scripted_peer.h
@@ -30,6 +30,8 @@
     std::string bytes(std::size_t n);
     bool closed_by_peer() { return in_.empty() && !more() && in_.empty(); }
     void shut() const;
+    void reset();
+    void end_sending() const;
 
   private:
     bool more();
@@ -44,6 +46,7 @@
     bool close = false;
     std::function<void()> wait = {};
     std::string rest = {};
+    bool reset = false;  // it closes by a reset, which is no end
 };
 
 class ScriptedPeer {
@@ -55,7 +58,8 @@
     ScriptedPeer& operator=(const ScriptedPeer&) = delete;
 
     void plays(Script script);
-    void stall();  // accepts no more, with room for one connection in the queue
+    void stall();   // accepts no more, with room for one connection in the queue,
+    void resume();  // until now
     std::vector<std::string> heard();
     std::string address() const;
 
--- a/src/net/answer.h
+++ b/src/net/answer.h
@@ -11,6 +11,7 @@
     bool sound = false;  // false: nonsense, which fails this exchange and its connection
     Ending ending = Ending::reset;
     bool reusable = true;  // the connection may carry another forward
+    bool unsized = false;  // nothing in front tells how long it is
     std::string body;      // the value of a read, the receipt of a write
 };
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -77,16 +77,19 @@
     if (what == Stream::News::input) read_answer();
     if (what != Stream::News::ended) return;
     // Closed between two calls it is only opened anew by the next.
-    if (calling_) {
+    if (calling_ && stream_->ended_in_order() && !stream_->input().empty()) {
+        read_answer(true);
+    } else if (calling_) {
         failed("connection lost");
     } else {
         stream_->close();
     }
 }
 
-void Discovery::read_answer() {
+void Discovery::read_answer(bool ended) {
     HttpResponse response;
-    const std::size_t taken = read_response(stream_->input(), kListMost, response);
+    const std::size_t taken = read_response(stream_->input(), kListMost, response, ended);
+    if (taken == 0 && ended) return failed("connection lost within an answer");
     if (taken == 0 && !stream_->full()) return;
     if (!calling_ || !response.sound || response.status != 200) {
         // It may not know the version that we hold, having lost its own; one that only turns us away still does, and
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -32,7 +32,7 @@
     void connect();
     void hang_up();
     void news(Stream::News what);
-    void read_answer();
+    void read_answer(bool ended = false);  // `ended`: by an orderly end behind what has come
     void failed(const std::string& why);
 
     Timers& timers_;
--- a/src/net/http1.cpp
+++ b/src/net/http1.cpp
@@ -175,22 +175,31 @@
     } else if (has(r, "transfer-encoding")) {
         // With a length beside it, or in a coding not known here, nobody can tell where the body ends.
         r.sound = !has(r, "content-length") && lowered(r.header("transfer-encoding")) == "chunked";
-    } else {
+    } else if (has(r, "content-length")) {
         r.sound = read_digits(r.header("content-length"), length) && length <= body_most;
+    } else {
+        r.sound = r.until_close = true;
+        r.keep_open = false;
     }
     return r.sound ? start : in.size();
 }
 
-std::size_t read_response(std::string_view in, std::size_t body_most, HttpResponse& r) {
+std::size_t read_response(std::string_view in, BodyMost most, HttpResponse& r, bool ended) {
     std::size_t length = 0;
-    std::size_t start = read_response_head(in, body_most, r, length);
+    std::size_t start = read_response_head(in, most.told, r, length);
     if (start == 0 || !r.sound) return start;
     if (has(r, "transfer-encoding") && r.status != 204 && r.status != 304) {
-        const Found found = read_chunks(in, start, body_most, r.body);
+        const Found found = read_chunks(in, start, most.untold, r.body);
         if (found == Found::more) return 0;
         r.sound = found == Found::whole;
         return r.sound ? start : in.size();
     }
+    if (r.until_close) {
+        length = in.size() - start;
+        r.sound = length <= most.untold;
+        if (!r.sound) return in.size();
+        if (!ended) return 0;
+    }
     if (in.size() - start < length) return 0;
     r.body = in.substr(start, length);
     return start + length;
--- a/src/net/http1.h
+++ b/src/net/http1.h
@@ -1,5 +1,6 @@
 // HTTP/1.1 as a client needs it: requests to bytes, bytes to responses. It owns no socket and no buffer, and
-// never takes a body for whole whose end it cannot tell (one that only the closing connection would end).
+// never takes a body for whole whose end it cannot tell: one that only the closing connection ends is whole once
+// the peer has ended its sending in order, which a reset never is.
 #pragma once
 
 #include <cstddef>
@@ -14,6 +15,8 @@
     bool sound = false;  // false: this is not HTTP, or nothing that may be relied upon
     int status = 0;
     bool keep_open = true;
+    bool until_close = false;  // no length is told: the body goes on to the orderly end of the connection
+    bool unsized() const { return until_close || !header("transfer-encoding").empty(); }
     std::vector<std::pair<std::string, std::string>> headers;  // names in lower case
     std::string body;
 
@@ -38,7 +41,15 @@
 // is one; `length` is its body's, where it gives one that is not over `body_most`.
 std::size_t read_response_head(std::string_view in, std::size_t body_most, HttpResponse& out, std::size_t& length);
 
-// How many bytes the first response takes; 0: it is not whole yet. Bodies over `body_most` are not sound.
-std::size_t read_response(std::string_view in, std::size_t body_most, HttpResponse& out);
+// How long a body may be: one whose length its head tells, and one that comes in chunks or up to the connection's end.
+struct BodyMost {
+    std::size_t told, untold;
+    BodyMost(std::size_t both) : told(both), untold(both) {}
+    BodyMost(std::size_t of_told, std::size_t of_untold) : told(of_told), untold(of_untold) {}
+};
+
+// How many bytes the first response takes; 0: it is not whole yet. Longer bodies than `most` are not sound. `ended`:
+// nothing will come behind `in`, by an orderly end.
+std::size_t read_response(std::string_view in, BodyMost most, HttpResponse& out, bool ended = false);
 
 }  // namespace brookrelay
--- a/src/net/origin.cpp
+++ b/src/net/origin.cpp
@@ -22,11 +22,14 @@
     return {head, length, 0, {}, response.keep_open};
 }
 
-std::size_t read_origin_answer(std::string_view in, Answer& a) {
+std::size_t read_origin_answer(std::string_view in, Answer& a, bool ended) {
+    a = {};
     HttpResponse response;
-    const std::size_t taken = read_response(in, kWholeMost, response);
+    std::size_t taken = read_response(in, {kWholeMost, kValueMost}, response, ended);
+    // Where only the head counts, a body up to the connection's end is not waited for.
+    if (taken == 0 && response.until_close && response.status != 200) taken = in.size();
+    a.unsized = response.unsized();
     if (taken == 0) return 0;
-    a = {};
     a.sound = response.sound;
     a.reusable = response.keep_open;
     if (response.status == 200) {
--- a/src/net/origin.h
+++ b/src/net/origin.h
@@ -13,6 +13,8 @@
 
 std::string origin_request(const Command& command, double time_left, std::string_view host);
 LongValue long_origin_answer(std::string_view in);
-std::size_t read_origin_answer(std::string_view in, Answer& out);  // 0: not whole yet
+// 0: not whole yet, and `out` says whether its length is told. `ended`: nothing will come behind `in`, by an
+// orderly end.
+std::size_t read_origin_answer(std::string_view in, Answer& out, bool ended = false);
 
 }  // namespace brookrelay
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kInMost = kWholeMost + 16 * 1024;  // a whole value and its head, or a window of a long one
+constexpr std::size_t kUnsizedMost = kValueMost + 16 * 1024;  // where no length is told, it has to be held whole
 constexpr double kStandstill = 10.0;  // s in which a server gives nothing more of a value that it has begun
 constexpr double kIdlePart = 0.8;  // of the idle time told; later the peer may be about to close
 constexpr double kAgeEvery = 1.0;
@@ -193,6 +194,8 @@
         case Stream::News::ended:
             if (c.relay != 0) {
                 pass_on(c);  // what had come before the end may be all of it
+            } else if (c.busy && c.stream->ended_in_order() && !c.stream->input().empty()) {
+                read_answer(c, true);
             } else if (c.busy) {
                 broken(c, Ending::reset);
             } else {
@@ -202,9 +205,9 @@
     }
 }
 
-std::size_t Pool::parse(Connection& c, Answer& answer) {
+std::size_t Pool::parse(const Connection& c, Answer& answer, bool ended) {
     const std::string_view in = c.stream->input();
-    if (server(c.cache).origin) return read_origin_answer(in, answer);
+    if (servers_[static_cast<std::size_t>(c.cache)].origin) return read_origin_answer(in, answer, ended);
     Reply reply;
     const std::size_t taken = read_reply(in, reply);
     switch (reply.kind) {
@@ -326,10 +329,11 @@
     Server& s = server(c.cache);
     if (places_ && !s.origin && s.open > places_(c.cache, 0)) return drop(c);  // its part has become less meanwhile
     c.used = monotonic();
+    c.stream->hold_at_most(kInMost);
     s.idle.push_back(&c);
 }
 
-void Pool::read_answer(Connection& c) {
+void Pool::read_answer(Connection& c, bool ended) {
     if (c.relay != 0) {
         c.used = monotonic();
         return pass_on(c);
@@ -337,7 +341,9 @@
     if (begin_relay(c)) return;
     Answer answer;
     std::size_t taken = 0;
-    if (c.busy) taken = parse(c, answer);
+    if (c.busy) taken = parse(c, answer, ended);
+    if (c.busy && taken == 0 && ended) return broken(c, Ending::reset);  // it ended before its end
+    if (taken == 0 && c.stream->full() && answer.unsized) c.stream->hold_at_most(kUnsizedMost);
     if (c.busy && taken == 0 && !c.stream->full()) {
         if (!budget_.over() || c.stream->input().size() <= kLineMost) return;
         log_.line(topic(c.cache), "no_memory", server(c.cache).name + ": no memory for its answer, forward given up");
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -101,13 +101,13 @@
     bool make_room();
     void start(Connection& c, int inv, int forward, double limit, const std::string& bytes);
     void news(Connection& c, Stream::News news);
-    void read_answer(Connection& c);
+    void read_answer(Connection& c, bool ended = false);  // `ended`: by an orderly end behind what has come
     bool begin_relay(Connection& c);
     void pass_on(Connection& c);
     void watch_standstill(Connection& c);
     void end_relay(Connection& c, bool whole);
     void rest_or_drop(Connection& c, bool reusable);
-    std::size_t parse(Connection& c, Answer& answer);
+    std::size_t parse(const Connection& c, Answer& answer, bool ended);
     void broken(Connection& c, Ending if_written);
     void end(Connection& c, Ending ending, std::string body = {});
     void drop(Connection& c);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -199,6 +199,7 @@
     const gssize n = g_socket_receive(socket_.get(), room.data(), room.size(), nullptr, &error);
     const ErrorRef why(error);
     if (n < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) return;
+    ended_in_order_ = n == 0;
     if (n <= 0) return ended();
     in_.append(room.data(), static_cast<std::size_t>(n));
     count();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -57,6 +57,7 @@
     void finish();  // sends no more once all is written; what still comes is the owner's to throw away
     bool has_unread() const;  // here, or still with the kernel
     bool rests() const;       // nothing has come, not even its end
+    bool ended_in_order() const { return ended_in_order_; }  // all that the peer sent has come; after a reset, not
     bool full() const { return in_.size() - taken_ >= in_most_; }
     bool up() const { return state_ == State::up; }
     bool closed() const { return state_ == State::closed; }
@@ -93,6 +94,7 @@
     std::size_t taken_ = 0;
     std::string out_;
     bool finishing_ = false;
+    bool ended_in_order_ = false;
     Told told_;
     int priority_ = G_PRIORITY_DEFAULT;
 };
