A forward whose connection comes up late is sent only if it is still wanted then; who has left is seen

Cause, by reading and then by a test. The bytes of a forward waited in Stream::out_ until its connection was up and went out in Stream::came_up before anybody was asked. (1) A client that had left meanwhile was worked for all the same where nothing may be called back (Balancer::drop_copies) and always at the origin. (2) What is due in the same turn of the loop (its time, the client's end) counted only if its source came first. (3) The end of a client whose buffer is full (Clients stops reading it) was not seen: its next commands went out as the first were answered. (4) A burst of leavers: Node::left walked every invocation for each. Ruled out: a drain told while a connection is opened, which Pool::withdraw already took back.

Pool keeps a forward's bytes itself; when the connection is up the node is asked, after all that the turn brought has been heard, and it begins it or lets the connection rest unused. Each forward, first or further, asks the kernel whether its client's connection still stands (one poll, also behind bytes that are not read). A miss, like a success, counts only after the forward was written whole. Clients hand back the invocation's own number, so nobody is looked for.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -165,7 +165,7 @@
             say(p, complaint.empty() ? "ERROR\r\n" : "CLIENT_ERROR " + complaint + "\r\n");
             c.last = command.framing_lost;
         } else {
-            asked_({id, c.first + c.pending.size() - 1}, std::move(command));
+            p.inv = asked_({id, c.first + c.pending.size() - 1}, std::move(command));
             continue;
         }
         write_answers(c);
@@ -392,6 +392,14 @@
     forget_pending(id, c);
 }
 
+bool Clients::has_gone(const Asker& asker) {
+    const auto at = clients_.find(asker.connection);
+    if (at == clients_.end() || at->second.stream->closed()) return true;
+    if (!at->second.stream->peer_gone()) return false;
+    drop(asker.connection, at->second);
+    return true;
+}
+
 void Clients::forget_pending(std::uint64_t id, Client& c) {
     held_ -= c.pending.size();
     reserved_ -= std::exchange(c.reserved, 0);
@@ -400,8 +408,8 @@
         reserved_ -= c.pending[i].reserved;
         if (c.pending[i].relay != 0) {
             relayed_.left(c.pending[i].relay);
-        } else if (!c.pending[i].ready) {
-            left_({id, c.first + i});
+        } else if (!c.pending[i].ready && c.pending[i].inv != kNoInvocation) {
+            left_({id, c.first + i}, c.pending[i].inv);
         }
     }
     c.first += c.pending.size();
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -26,9 +26,11 @@
     struct Asker {
         std::uint64_t connection = 0;
         std::uint64_t command = 0;
+        bool operator==(const Asker&) const = default;
     };
-    using Asked = std::function<void(Asker, Command&&)>;
-    using Left = std::function<void(Asker)>;  // one call for each command without its answer
+    static constexpr int kNoInvocation = -1;
+    using Asked = std::function<int(Asker, Command&&)>;  // which invocation the command is, if it is one
+    using Left = std::function<void(Asker, int inv)>;  // one call for each invocation without its answer
     // For long values: there is room for more of it, or nobody wants the rest any more.
     struct Relayed {
         std::function<void(std::uint64_t relay)> room;
@@ -52,6 +54,8 @@
     void end_long(const Asker& asker, bool whole, std::string_view line);
     // From now on each connection is closed once it has nothing to be answered.
     void wind_down();
+    // Whether whoever asked has closed its connection; if so it is dropped, though its end may not be read yet.
+    bool has_gone(const Asker& asker);
     bool none() const { return live_ == 0; }
     int live() const { return static_cast<int>(live_); }
     void keep_to(double part);  // of its connections and bytes: the rest is another process's
@@ -61,6 +65,7 @@
   private:
     struct Pending {
         bool ready = false;
+        int inv = kNoInvocation;
         std::string text;
         std::uint64_t relay = 0;   // the rest of it comes in pieces
         bool begun = false;        // and some of it is written
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -89,6 +89,12 @@
             [this](Pool::Ended&& end) {
                 inbox_.emplace_back([this, e = std::move(end)](double now) mutable { ended(now, e); });
             },
+            // Only after all that this turn of the loop brings has been heard: whether it is still to be sent.
+            [this](int inv, int forward) {
+                inbox_.emplace_back([this, inv, forward](double) {
+                    to_do_.emplace_back([this, inv, forward] { begin_forward(inv, forward); });
+                });
+            },
             {[this](std::uint64_t relay) { return relays_.contains(relay) ? clients_.room(relays_[relay]) : 0; },
              [this](std::uint64_t relay, std::string_view piece) { clients_.piece(relays_[relay], piece); },
              [this](std::uint64_t relay, bool whole) {
@@ -100,8 +106,8 @@
              }}),
       clients_(
           timers_, log, budget(station.descriptors, kClientsPart), bytes(station.memory_mb),
-          [this](const Clients::Asker& asker, Command&& command) { asked(asker, std::move(command)); },
-          [this](const Clients::Asker& asker) { left(asker); },
+          [this](const Clients::Asker& asker, Command&& command) { return asked(asker, std::move(command)); },
+          [this](const Clients::Asker& asker, int inv) { left(asker, inv); },
           {[this](std::uint64_t relay) { pool_.pull(relay); },
            [this](std::uint64_t relay) {
                relays_.erase(relay);
@@ -287,7 +293,7 @@
     return now < behind_until_ ? stood_from_ : now;
 }
 
-void Node::asked(const Clients::Asker& asker, Command&& command) {
+int Node::asked(const Clients::Asker& asker, Command&& command) {
     const int operation = index_of(station_.names.operations, command.properties.operation);
     const bool full = station_.most_open > 0 && open_ >= station_.most_open;
     // Servers tell invocations apart by their ids alone: with one that is still open the answer made for the
@@ -299,7 +305,7 @@
                                  : taken       ? "CLIENT_ERROR id in use\r\n"
                                                : busy_text(0);
         inbox_.emplace_back([this, asker, text](double) { clients_.answer(asker, text); });
-        return;
+        return Clients::kNoInvocation;
     }
     if (free_.empty()) {
         free_.push_back(static_cast<int>(invocations_.size()));
@@ -313,6 +319,7 @@
     const double due = came + command.properties.time_left;
     invocation(inv) = {asker, std::move(command), came, due, 0, 0, false, {}};
     inbox_.emplace_back([this, inv, operation](double now) { arrived(now, inv, operation); });
+    return inv;
 }
 
 void Node::arrived(double now, int inv, int operation) {
@@ -341,13 +348,11 @@
     balancer_->arrived(now, a);
 }
 
-void Node::left(const Clients::Asker& asker) {
-    inbox_.emplace_back([this, asker](double now) {
-        for (std::size_t i = 0; i < invocations_.size(); ++i) {
-            const Invocation& v = invocations_[i];
-            const bool same = v.asker.connection == asker.connection && v.asker.command == asker.command;
-            if (same && !v.over) return client_left(now, static_cast<int>(i));
-        }
+// By the time that the inbox is read its place may be another's.
+void Node::left(const Clients::Asker& asker, int inv) {
+    inbox_.emplace_back([this, asker, inv](double now) {
+        const Invocation& v = invocation(inv);
+        if (v.asker == asker && !v.over) client_left(now, inv);
     });
 }
 
@@ -564,8 +569,8 @@
 void Node::carry_out_forward(int inv, int number, int cache, double limit) {
     const Invocation& v = invocation(inv);
     const double left = std::min(limit, v.due - monotonic());
-    // Decided before the turn's news of the server came.
-    const bool declined = v.over || left <= 0 || !takes_new(cache);
+    // Decided before the turn's news of the server came, or before its client's end was read.
+    const bool declined = v.over || left <= 0 || !takes_new(cache) || clients_.has_gone(v.asker);
     // Past its part of the fleet's limit a node sends nothing to the origin: who asked is told to come again.
     if (declined || (talk_ != nullptr && is_origin(server(cache)) && !talk_->origin_may(monotonic()))) {
         inbox_.emplace_back([this, e = Pool::Ended{inv, number, cache, Ending::not_sent, 0, {}, 0, 0}](
@@ -581,6 +586,13 @@
     pool_.forward(inv, number, cache, v.command, left);
 }
 
+// Its connection has come up, perhaps late.
+void Node::begin_forward(int inv, int number) {
+    const Invocation& v = invocation(inv);
+    if (v.over || clients_.has_gone(v.asker)) return pool_.decline(inv, number);
+    pool_.begin(inv, number);
+}
+
 void Node::cancel(int inv, int forward) {
     to_do_.emplace_back([this, inv, forward] { pool_.cancel(inv, forward); });
 }
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -73,8 +73,8 @@
     Known& server(int cache) { return servers_[static_cast<std::size_t>(cache)]; }
     Invocation& invocation(int inv) { return invocations_[static_cast<std::size_t>(inv)]; }
     double came_at();
-    void asked(const Clients::Asker& asker, Command&& command);
-    void left(const Clients::Asker& asker);
+    int asked(const Clients::Asker& asker, Command&& command);
+    void left(const Clients::Asker& asker, int inv);
     void arrived(double now, int inv, int operation);
     void ended(double now, Pool::Ended& e);
     void client_left(double now, int inv);
@@ -87,6 +87,7 @@
     std::string placed_by(const Names& names, std::vector<std::pair<int, int>>& places) const;
     void forget_gone();
     void carry_out_forward(int inv, int number, int cache, double limit);
+    void begin_forward(int inv, int number);
     void answer(int inv, std::string text);
     void finish(int inv);
     void settle(int inv);
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -19,7 +19,7 @@
 }  // namespace
 
 Pool::Pool(Timers& timers, Log& log, const Deployment& d, std::size_t most, std::size_t bytes, Tell tell,
-           Taker taker)
+           Up up, Taker taker)
     : timers_(timers),
       log_(log),
       most_ever_(most),
@@ -27,6 +27,7 @@
       bytes_ever_(bytes),
       budget_{bytes},
       tell_(std::move(tell)),
+      up_(std::move(up)),
       taker_(std::move(taker)) {
     settle_in(d);
     age();
@@ -100,17 +101,39 @@
     start(*c, kProbe, number, limit, s.origin ? http_request("GET", "/alive", s.address, {}, {}) : "mn\r\n");
 }
 
-void Pool::start(Connection& c, int inv, int forward, double limit, const std::string& bytes) {
+void Pool::start(Connection& c, int inv, int forward, double limit, std::string bytes) {
     c.busy = true;
     c.inv = inv;
     c.forward = forward;
     c.sent = monotonic();
     out_.emplace(mark(inv, forward), &c);
-    c.limit = timers_.at(c.sent + limit, [this, &c] {
+    c.due = c.sent + limit;
+    c.limit = timers_.at(c.due, [this, &c] {
         c.limit = {};
         broken(c, Ending::timed_out);
     });
-    c.stream->write(bytes);
+    c.unsent = std::move(bytes);
+    if (c.stream->up()) send_off(c);
+}
+
+// Given to the stream before it is up, the bytes would go the moment it comes up: also past their time, to a server
+// that drains by then, or for a client that has left, if the loop hears of the connection before it hears of those.
+void Pool::send_off(Connection& c) { c.stream->write(std::exchange(c.unsent, {})); }
+
+void Pool::begin(int inv, int forward) {
+    const auto at = out_.find(mark(inv, forward));
+    if (at == out_.end()) return;  // its end is already on the way
+    Connection& c = *at->second;
+    if (monotonic() >= c.due) return broken(c, Ending::timed_out);
+    if (c.stream->up()) send_off(c);
+}
+
+void Pool::decline(int inv, int forward) {
+    const auto at = out_.find(mark(inv, forward));
+    if (at == out_.end()) return;
+    Connection& c = *at->second;
+    end(c, Ending::not_sent);
+    rest_or_drop(c, true);
 }
 
 // What is at work and what is idle together stay within it, so that a new one is opened in the place of none.
@@ -184,7 +207,11 @@
 void Pool::news(Connection& c, Stream::News what) {
     switch (what) {
         case Stream::News::up:
+            // After a standstill the loop may hear of this before its timer, which is due all the same.
+            if (c.connect.first <= monotonic()) return broken(c, Ending::timed_out);
             timers_.call_off(c.connect);
+            if (!c.busy) break;
+            c.inv == kProbe ? send_off(c) : up_(c.inv, c.forward);
             break;
         case Stream::News::input:
             read_answer(c);
@@ -241,7 +268,7 @@
 
 // Only a head in which nothing is wrong is passed on: after it no other answer can take this one's place.
 bool Pool::begin_relay(Connection& c) {
-    if (!c.busy || !c.read || !c.stream->all_written()) return false;
+    if (!c.busy || !c.read || !sent_whole(c)) return false;
     const bool origin = server(c.cache).origin;
     LongValue value = origin ? long_origin_answer(c.stream->input()) : long_reply(c.stream->input());
     if (value.head == 0 || (!origin && value.id != c.id)) return false;
@@ -350,7 +377,8 @@
         return broken(c, Ending::errored);
     }
     // An answer that comes before the forward is written whole was made for another, if for any.
-    if (c.busy && answer.ending == Ending::succeeded) answer.sound = answer.sound && c.stream->all_written();
+    if (c.busy && (answer.ending == Ending::succeeded || answer.ending == Ending::miss))
+        answer.sound = answer.sound && sent_whole(c);
     // A receipt becomes part of a line to the client, which it must not be able to end.
     if (c.busy && answer.ending == Ending::succeeded && !c.read && c.inv != kProbe)
         answer.sound = answer.sound && is_word(answer.body);
@@ -372,18 +400,19 @@
 void Pool::withdraw(int cache) {
     release(cache);
     for (Connection& c : connections_) {
-        if (c.cache == cache && c.busy && !c.stream->up()) broken(c, Ending::refused);
+        if (c.cache == cache && c.busy && !c.unsent.empty()) broken(c, Ending::refused);
     }
 }
 
 // What a lost connection proves hangs on one thing: whether the forward's last byte had been written.
 void Pool::broken(Connection& c, Ending if_written) {
-    end(c, c.stream->unwritten() == 0 ? if_written : Ending::refused);
+    end(c, sent_whole(c) ? if_written : Ending::refused);
     drop(c);
 }
 
 void Pool::end(Connection& c, Ending ending, std::string body) {
     c.busy = false;
+    c.unsent.clear();
     timers_.call_off(c.limit);
     out_.erase(mark(c.inv, c.forward));
     const double took = monotonic() - c.sent;
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -43,12 +43,14 @@
         std::function<void(std::uint64_t relay, bool whole)> end;
     };
     using Tell = std::function<void(Ended&&)>;
+    // A forward's connection has come up, and nothing of it is sent: it waits for begin() or decline().
+    using Up = std::function<void(int inv, int forward)>;
     // How many connections to a server may be open, of which so many would be at work.
     using Places = std::function<int(int cache, int wanted)>;
     static constexpr int kProbe = -1;  // in the place of an invocation
 
     Pool(Timers& timers, Log& log, const Deployment& deployment, std::size_t most, std::size_t bytes,
-         Tell tell, Taker taker);
+         Tell tell, Up up, Taker taker);
 
     void settle_in(const Deployment& deployment);  // for connections from now on
     // Without: only the budget says. What is open beyond it is closed by keep_places(), or as it falls idle.
@@ -59,6 +61,8 @@
     void forget(int cache);        // only what is not in use: its number may then stand for another server
     void forward(int inv, int forward, int cache, const Command& command, double limit);
     void probe(int cache, double limit);
+    void begin(int inv, int forward);
+    void decline(int inv, int forward);  // nobody wants it any more: it is not sent, and its connection rests
     void cancel(int inv, int forward);
     void pull(std::uint64_t relay);
     void give_up(std::uint64_t relay);  // nobody wants the rest
@@ -77,7 +81,9 @@
         int inv = 0;
         int forward = 0;
         std::string id;
+        std::string unsent;  // the forward's bytes, until its connection is up and it is still wanted then
         double sent = 0;
+        double due = 0;  // when it is given up
         double used = 0;
         Timers::Handle limit;
         Timers::Handle connect;
@@ -99,7 +105,8 @@
     Connection* open(int cache);
     bool has_place(int cache);
     bool make_room();
-    void start(Connection& c, int inv, int forward, double limit, const std::string& bytes);
+    void start(Connection& c, int inv, int forward, double limit, std::string bytes);
+    void send_off(Connection& c);
     void news(Connection& c, Stream::News news);
     void read_answer(Connection& c, bool ended = false);  // `ended`: by an orderly end behind what has come
     bool begin_relay(Connection& c);
@@ -107,6 +114,7 @@
     void watch_standstill(Connection& c);
     void end_relay(Connection& c, bool whole);
     void rest_or_drop(Connection& c, bool reusable);
+    static bool sent_whole(const Connection& c) { return c.unsent.empty() && c.stream->unwritten() == 0; }
     std::size_t parse(const Connection& c, Answer& answer, bool ended);
     void broken(Connection& c, Ending if_written);
     void end(Connection& c, Ending ending, std::string body = {});
@@ -122,6 +130,7 @@
     const std::size_t bytes_ever_;
     ByteBudget budget_;
     Tell tell_;
+    Up up_;
     Taker taker_;
     Places places_;
     std::uint64_t last_relay_ = 0;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -216,6 +217,13 @@
     return up() && input().empty() && g_socket_condition_check(socket_.get(), any) == 0;
 }
 
+// Asked of the kernel, since GLib's conditions know no end of the peer's sending that is not next to be read.
+bool Stream::peer_gone() const {
+    if (state_ != State::up) return state_ != State::connecting;
+    pollfd one{g_socket_get_fd(socket_.get()), POLLRDHUP, 0};
+    return ::poll(&one, 1, 0) > 0 && (one.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void Stream::take(std::size_t bytes) {
     taken_ += bytes;
     if (taken_ == in_.size()) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -58,6 +58,7 @@
     bool has_unread() const;  // here, or still with the kernel
     bool rests() const;       // nothing has come, not even its end
     bool ended_in_order() const { return ended_in_order_; }  // all that the peer sent has come; after a reset, not
+    bool peer_gone() const;   // it has closed or reset, also where its end lies behind bytes that are not read yet
     bool full() const { return in_.size() - taken_ >= in_most_; }
     bool up() const { return state_ == State::up; }
     bool closed() const { return state_ == State::closed; }
