Calls to discovery are given up within the 6 s in which a change counts as told

One timer of 12 s covered connecting, calls and watches alike (src/net/discovery.cpp, kWait + kBeyondWait). A watch that fell silent was opened anew after up to 12 s, a call that began just before discovery came back after as long; where lists are asked for the module's wait came on top (list_failed, half of ask_every, which may be any time). And a list older than the one held, as from a replica that lags, was taken and brought back what drains.

A watch waits 4 s and is given up 1 s later; the first call after a failure waits 0.25 s, one for the whole list may take 2 s. After a silent watch the next call goes out at once, also where lists are asked for; after other failures the module waits 3 s at the most (a new constant, kAskMost, from the 6 s). An older list than the one held makes the node ask for all there is, whose answer counts whatever its version. An answer other than 200 is not waited for to its end. Arithmetic, worst case: silent watch 4 + 1 + 0.075 + an answer; call begun while it was down 1.25 + 1.5 (asked: 3) + an answer of 1.25 at the most.

Tests: those eight outages and the older list, in races_test.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -39,6 +39,7 @@
 constexpr double kColdSafety = 0.8;  // part of the guaranteed warm-up that is used
 constexpr double kColdBudget = 0.6;  // part of this node's even share of rule 4's budget that is used
 constexpr double kAskApart = 0.12;   // s a node, on average, between first calls for the list
+constexpr double kAskMost = 3.0;     // s to the next after a failure: 6 s later it counts as told, whatever failed
 constexpr double kEvenLoad = 0.5;    // of its capacity, taken for what an even share of keys brings it
 constexpr int kDisplaced = 1;        // closed gates that a key passes before it is throttled
 constexpr double kJamStrain = 0.55;  // part of strained endings from which it passes none: all are full
@@ -383,8 +384,8 @@
     }
     void list_failed(double) override {
         // Doubling with full jitter: all nodes lose the list at once, and its service has a fixed capacity.
-        const double most = std::min(std::max(0.2, ask_spread()) * std::pow(2.0, list_failures_),
-                                     deployment_.ask_every / 2 + 0.2);
+        const double most = std::min({std::max(0.2, ask_spread()) * std::pow(2.0, list_failures_),
+                                      deployment_.ask_every / 2 + 0.2, kAskMost});
         list_failures_ = std::min(list_failures_ + 1, 10);
         host_.wake(most * (0.3 + 0.7 * draw()), token(Timer::list, 0, 0));
     }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -9,8 +9,13 @@
 namespace brookrelay {
 namespace {
 
-constexpr double kWait = 10;          // s that a watch may wait for news
-constexpr double kBeyondWait = 2;     // and that its answer may take beyond that before it is given up
+// A change counts as told 6 s after discovery has it and can be reached, whatever has become of the calls meanwhile.
+// What a silent watch or call costs of that is the time until it is given up, and that until the next is answered:
+// docs/design.md has the sum. Longer waits would make fewer calls where each is paid for.
+constexpr double kWait = 4;           // s that a watch may wait for news
+constexpr double kWaitAfterFailure = 0.25;  // the first after a failure, which discovery may be too far gone to answer
+constexpr double kAnswerMost = 1;     // s that an answer may take beyond the wait before the call is given up,
+constexpr double kWholeListMost = 2;      // and that of a call for the whole list; either with the connecting
 // s to the next try after a failure; doubles, each with jitter: nodes that started together fail together, and
 // would come back together for as long as they are turned away.
 constexpr double kRetryLeast = 0.05;
@@ -45,6 +50,7 @@
     address_ = address;
     names_ = names;
     version_ = kNone;
+    sound_ = false;
     retry_after_ = kRetryLeast;
     if (stream_ != nullptr) hang_up();
     timers_.call_off(next_);
@@ -56,15 +62,17 @@
     if (stream_ == nullptr || !stream_->up()) connect();
     calling_ = true;
     std::string target = "/discovery/hosts";
+    double most = kWholeListMost;
     if (version_ >= 0) {
-        target +=
-            "?index=" + std::to_string(version_) + "&wait=" + std::to_string(static_cast<int>(kWait * 1e3));
+        const double wait = sound_ ? kWait : kWaitAfterFailure;
+        most = wait + kAnswerMost;
+        target += "?index=" + std::to_string(version_) + "&wait=" + std::to_string(static_cast<int>(wait * 1e3));
     }
     stream_->write(http_request("GET", target, address_, {}, {}));
     // Discovery may be silent with its connection open, and may come back without ever answering this call.
-    limit_ = timers_.at(monotonic() + kWait + kBeyondWait, [this] {
+    limit_ = timers_.at(monotonic() + most, [this] {
         limit_ = {};
-        failed("no answer");
+        failed("no answer", true);
     });
 }
 
@@ -90,7 +98,9 @@
     HttpResponse response;
     const std::size_t taken = read_response(stream_->input(), kListMost, response, ended);
     if (taken == 0 && ended) return failed("connection lost within an answer");
-    if (taken == 0 && !stream_->full()) return;
+    // Of anything but a list the head says all: an end that may never come is not waited for.
+    const bool refused = response.until_close && response.status != 200;
+    if (taken == 0 && !stream_->full() && !refused) return;
     if (!calling_ || !response.sound || response.status != 200) {
         // It may not know the version that we hold, having lost its own; one that only turns us away still does, and
         // the whole list would cost it more.
@@ -107,12 +117,19 @@
     } catch (const BadInput& bad) {
         return failed(bad.what());
     }
+    // From a replica that lags behind it would bring back servers that drain. If discovery lost its versions, it
+    // says so again when it is asked for all that it has.
+    if (list.version < version_) {
+        version_ = kNone;
+        return failed("a list older than the one held");
+    }
     for (const std::string& complaint : list.complaints) {
         log_.line(Topic::discovery, "entry_left_out", "an entry was left out: " + complaint);
     }
     calling_ = false;
     timers_.call_off(limit_);
     retry_after_ = kRetryLeast;
+    sound_ = true;
     version_ = list.version;
     told_(std::move(list));
     if (!response.keep_open) stream_->close();
@@ -129,11 +146,14 @@
     stream_->close();
 }
 
-void Discovery::failed(const std::string& why) {
+void Discovery::failed(const std::string& why, bool given_up) {
     log_.line(Topic::discovery, "call_failed", "call failed: " + why);
+    // A watch that falls silent has used up most of the time: the next call goes out at once, and those of many nodes
+    // are apart as their watches were. Whatever else fails may have failed for all nodes in the same moment.
+    const bool silent = std::exchange(sound_, false) && given_up;
     hang_up();
     watching_ = false;
-    if (asks_) return tell_failed_();
+    if (asks_ && !silent) return tell_failed_();
     const double spread = 0.5 + static_cast<double>(chance_()) / static_cast<double>(std::ranlux24_base::max());
     next_ = timers_.at(monotonic() + retry_after_ * spread, [this] {
         next_ = {};
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -33,7 +33,7 @@
     void hang_up();
     void news(Stream::News what);
     void read_answer(bool ended = false);  // `ended`: by an orderly end behind what has come
-    void failed(const std::string& why);
+    void failed(const std::string& why, bool given_up = false);
 
     Timers& timers_;
     Log& log_;
@@ -46,6 +46,7 @@
     ByteBudget budget_;  // one stream, bounded by itself
     std::unique_ptr<Stream> stream_;
     bool calling_ = false;
+    bool sound_ = false;  // the last call was answered by a list
     bool watching_ = false;
     Timers::Handle limit_;
     Timers::Handle next_;  // the next call, or the next try
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -209,4 +209,123 @@
               static_cast<std::ptrdiff_t>(before));
 }
 
+// ---- discovery that falls silent, comes late or tells of older times -------------------------------------
+
+// Discovery as the test lets it be: silent with its connections open, resetting, or answering a watch with what is new.
+class Agent {
+  public:
+    enum class Way { answers, silent, resets, refuses };
+    ScriptedPeer::Script script() {
+        return [this](const std::string& request) {
+            const std::size_t at = request.find("index=");
+            const int held = at == std::string::npos ? 0 : std::stoi(request.substr(at + 6));
+            const std::size_t w = request.find("wait=");
+            const int wait = w == std::string::npos ? 0 : std::stoi(request.substr(w + 5));
+            longest_wait_ = std::max(longest_wait_.load(), wait);
+            ++calls_;
+            const double until = seconds() + wait / 1e3;
+            while (seconds() < until && version_ <= held && way_ == Way::answers)
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            const Way way = way_;
+            if (way == Way::silent) return Act{};  // to this call for good, whatever discovery does later
+            if (way == Way::resets) return Act{"", false, {}, {}, true};
+            if (way == Way::refuses) return Act{http("", "503 Later")};
+            const std::lock_guard lock(mutex_);
+            const bool whole = held == 0;
+            return Act{http(R"({"seq":)" + std::to_string(version_) + R"(,"whole":)" + (whole ? "true" : "false") +
+                            R"(,"hosts":[)" + (whole ? all_ : version_ > held ? news_ : "") + "]}")};
+        };
+    }
+    void has(const std::string& news, const std::string& all) {
+        const std::lock_guard lock(mutex_);
+        news_ = news;
+        all_ = all;
+        ++version_;
+    }
+    void goes(Way way) { way_ = way; }
+    int calls() const { return calls_; }
+    int longest_wait() const { return longest_wait_; }
+
+  private:
+    std::atomic<int> version_{7}, calls_{0}, longest_wait_{0};
+    std::atomic<Way> way_{Way::answers};
+    std::mutex mutex_;
+    std::string news_, all_;
+};
+
+struct Outage {
+    const char* name;
+    Agent::Way way;
+    double lasts;  // s
+    bool asked;
+};
+
+class ChangeAfterAnOutage : public testing::TestWithParam<Outage> {};
+
+// A change counts as told 6 s after discovery has it and can be reached.
+TEST_P(ChangeAfterAnOutage, IsActedOnInTime) {
+    const Outage& c = GetParam();
+    Agent agent;
+    Around around;
+    around.watch = agent.script();
+    around.asked = c.asked;
+    Fleet fleet(2, around);
+    wait_for([&] { return agent.calls() > 0; });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));  // within the watch's wait
+    agent.goes(c.way);
+    std::this_thread::sleep_for(std::chrono::duration<double>(c.lasts));
+    ScriptedPeer& drained = fleet.caches.front();
+    const std::string news = Fleet::entry(Fleet::name(drained), drained, "DRAINING");
+    agent.has(news, Fleet::entry("origin", fleet.origin, "SERVING") + "," + news + "," +
+                        Fleet::entry(Fleet::name(fleet.caches.back()), fleet.caches.back(), "SERVING"));
+    const double there = seconds();
+    agent.goes(Agent::Way::answers);
+    wait_for([&] { return fleet.logged("version 8"); });
+    const double took = seconds() - there;
+    agent.goes(Agent::Way::silent);
+    RecordProperty("took_ms", static_cast<int>(took * 1e3));
+    std::printf("acted on after %.2f s\n", took);
+    EXPECT_LT(took, 6.0);
+    EXPECT_LE(agent.longest_wait(), 4000);
+}
+
+INSTANTIATE_TEST_SUITE_P(Outages, ChangeAfterAnOutage,
+                         testing::Values(Outage{"watch_falls_silent", Agent::Way::silent, 0.1, false},
+                                         Outage{"silent_call_of_its_time", Agent::Way::silent, 5.3, false},
+                                         Outage{"long_silence", Agent::Way::silent, 9, false},
+                                         Outage{"resets", Agent::Way::resets, 4, false},
+                                         Outage{"refusals", Agent::Way::refuses, 4, false},
+                                         Outage{"asked_watch_falls_silent", Agent::Way::silent, 0.1, true},
+                                         Outage{"asked_long_silence", Agent::Way::silent, 9, true},
+                                         Outage{"asked_refusals", Agent::Way::refuses, 6, true}),
+                         [](const auto& c) { return c.param.name; });
+
+// A list from before the one held would bring back servers that drain; only as the answer to a call for all that there
+// is does it count, since discovery may have lost its versions.
+TEST(OlderList, DoesNotBringBackWhatDrains) {
+    std::atomic<int> step{0};
+    std::string drain, old;
+    const auto watch = [&](const std::string& request) {
+        while (step == 0) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        if (request.find("index=7&") != std::string::npos)
+            return Act{http(R"({"seq":8,"whole":false,"hosts":[)" + drain + "]}")};
+        if (request.find("index=8&") != std::string::npos && step++ == 1)
+            return Act{http(R"({"seq":5,"whole":true,"hosts":[)" + old + "]}")};
+        return Act{};  // the call for the whole list among them
+    };
+    Fleet fleet(2, {256, 250, watch});
+    ScriptedPeer& drained = fleet.caches.front();
+    drain = Fleet::entry(Fleet::name(drained), drained, "DRAINING");
+    old = Fleet::entry("origin", fleet.origin, "SERVING");
+    for (ScriptedPeer& c : fleet.caches) old += "," + Fleet::entry(Fleet::name(c), c, "SERVING");
+    step = 1;
+    wait_for([&] { return fleet.logged("a list older than the one held"); });
+    for (int k = 0; k < 20; ++k) {
+        const std::string id = "o" + std::to_string(k);
+        EXPECT_EQ(fleet.ask(read_of("k" + std::to_string(k), id)), "VA 5 O" + id + "\r\n");
+    }
+    EXPECT_TRUE(drained.heard().empty());
+    wait_for([&] { return fleet.discovery.heard().back().starts_with("GET /discovery/hosts HTTP"); });
+}
+
 }  // namespace
