A cold cache server's part under one forward is drawn, not rounded up: the sum over all nodes holds

Cause. welcome_cold let each node send one forward a fall time, however small its part of rule 4's budget (std::max(budget, 1.0)), except where caches are so many that keys cannot be counted. Thirty nodes that see one popular key then send thirty where the cache is allowed ten or twenty. And a node's part was too large where traffic is thin: answered_by_warm divided by the points of those caches alone that had answered of late, which with 10 a second over 200 caches is five times too much. And who waited for a fetch went on to a cold cache unasked. Ruled out: the spread of a hot key over several points (split), which bounds it only where it is seen often.

What a part has over whole forwards is drawn anew for each stretch of a fall time, at each node from a point of its own and by its own seed: the sum is the nodes' parts and chance, whatever they all ask for. It replaces the rule for keys that are not seen and the one for young nodes. The part is reckoned in the cache's own zone, over all of its warm caches; where nothing tells, all nodes together may send one (kColdLeast, in the place of kEvenLoad). Waiters ask too.

Tests. rules_test plays 4 to 300 nodes before one cold cache, even and uneven traffic, a hot key or none, all nodes restarting, six hot keys each (simulated): what it gets in any fall time stays within N + 2 x root of N + 2. On the module before, three of 17 rows pass it (30 nodes with slow caches, even and uneven: 44 sent where 30.2 are allowed, 46 where 32.5; 100 nodes: 38 where 25.2). The row that wanted at least 20 of 200 fresh nodes of 1,000 to send one key's first invocation to a cold cache at once is replaced: that is what the new term forbids; now at most 4 of 1,000, and the sum's row has the lower bound.

--- a/src/decision/balancer.cpp
+++ b/src/decision/balancer.cpp
@@ -40,7 +40,7 @@
 constexpr double kColdBudget = 0.6;  // part of this node's even share of rule 4's budget that is used
 constexpr double kAskApart = 0.12;   // s a node, on average, between first calls for the list
 constexpr double kAskMost = 3.0;     // s to the next after a failure: 6 s later it counts as told, whatever failed
-constexpr double kEvenLoad = 0.5;    // of its capacity, taken for what an even share of keys brings it
+constexpr double kColdLeast = 1;     // forwards of all nodes in a fall time, where nothing tells what it bears
 constexpr int kDisplaced = 1;        // closed gates that a key passes before it is throttled
 constexpr double kJamStrain = 0.55;  // part of strained endings from which it passes none: all are full
 constexpr int kJammed = -2;          // no cache, for load alone
@@ -258,7 +258,7 @@
 class Decisions final : public Balancer {
   public:
     Decisions(const Deployment& deployment, std::uint64_t seed, Host& host)
-        : host_(host), chance_(static_cast<std::uint32_t>(mix(seed))) {
+        : host_(host), chance_(static_cast<std::uint32_t>(mix(seed))), own_(mix(seed + 1)) {
         settle_in(deployment);
         retries_ = most_retries_ / 2;
         origin_gate_.limit =
@@ -374,13 +374,10 @@
         if (usual_size_ == 0) usual_size_ = usual_size();
         update_rings();
         if (deployment_.sizes == Sizes::live && kind != ListKind::disk) weigh_listed_load();
-        if (kind == ListKind::disk) {
-            // What is on disk may be old in every line, so the list is asked for before anything else.
-            // But nodes that start together would be turned away together, so each takes its turn by chance.
-            if (deployment_.ask_for_list) host_.wake(ask_spread() * draw(), token(Timer::list, 0, 0));
-        } else {
-            list_failures_ = 0;
-        }
+        if (kind != ListKind::disk) list_failures_ = 0;
+        // What is on disk may be old in every line, so the list is asked for before anything else.
+        // But nodes that start together would be turned away together, so each takes its turn by chance.
+        else if (deployment_.ask_for_list) host_.wake(ask_spread() * draw(), token(Timer::list, 0, 0));
     }
     void list_failed(double) override {
         // Doubling with full jitter: all nodes lose the list at once, and its service has a fixed capacity.
@@ -722,32 +719,35 @@
         if (warm >= 1) return true;
         // In a zone with few caches left, the first that come back cold would have all of its traffic.
         const int zones = zone == pooled() ? 1 : pooled();
-        warm *= std::min(
-            1.0, static_cast<double>(zones * members_[static_cast<std::size_t>(zone)]) / members_.back());
+        warm *= std::min(1.0, 1.0 * zones * members_[static_cast<std::size_t>(zone)] / members_.back());
+        return unit(mix(v.what.key * 3 ^ c.hash)) < warm && cold_room(c, warm, now);
+    }
+    bool has_room(Cache& c, double now) { return warmth(c, now) >= 1 || cold_room(c, warmth(c, now), now); }
+    bool cold_room(Cache& c, double warm, double now) {
         // What warm caches answer, not what they are sent: an overloaded fleet rejects most of that.
-        const double due = warm * c.points * answered_by_warm(now);
-        const double budget = kColdBudget * deployment_.fall_multiple * due;
-        // With many nodes each one's part is under one forward and no count holds it; and with many caches a
-        // key too rare for a node to see as hot may alone push one over. What came more than once stays away,
-        // and nodes that have not counted for long enough to tell take turns by hash.
-        const bool unseen = budget < 1 && kHotLeast * members_.back() * kEvenLoad >
-                                              kHotSample * deployment_.fall_multiple * warm;
-        const bool young = counted_[0] + counted_[1] < kHotSample;
-        if (unseen && v.came > 1) return false;
-        const std::uint64_t turn = unseen && young ? mix(static_cast<std::uint64_t>(deployment_.node)) : 0;
-        if (unit(mix(v.what.key * 3 ^ c.hash ^ turn)) >= warm) return false;
-        return c.cold_sent.count(now) < std::max(budget, 1.0);
-    }
-    // Answers to this node in one fall time, a point of a warm cache: this node's part of its capacity.
-    double answered_by_warm(double now) {
-        int answers = 0, points = 0;
+        const double part = deployment_.fall_multiple * warm * c.points * answered_by_warm(c.zone, now);
+        // With many nodes each one's part is under one forward, and one each would be many. What a part has over
+        // whole forwards is drawn anew for each stretch of a fall time, at each node on its own and from a point
+        // of its own: the sum is their parts and chance, whatever key they all ask for at once.
+        const std::uint64_t own = mix(own_ ^ c.hash);
+        const auto stretch = static_cast<std::uint64_t>(now / std::max(deployment_.fall_time, 0.1) + unit(own));
+        const double least = kColdLeast / std::max(1, deployment_.nodes);
+        const double most = std::max({kColdBudget * part, std::min(part, 1.0), least});
+        return c.cold_sent.count(now) < std::floor(most + unit(mix(own + stretch)));
+    }
+    // Answers to this node in one fall time, a point of a warm cache of the zone, or of all where it has none: this
+    // node's part of its capacity. Also of those that answered none of late: with little traffic most have not.
+    double answered_by_warm(int zone, double now) {
+        std::array<double, 2> answers{}, points{};
         for (Cache& c : caches_) {
             if (c.origin || c.standing != Standing::ready || warmth(c, now) < 1) continue;
-            const int n = c.pace.count(now);
-            answers += n;
-            points += n > 0 ? c.points : 0;
+            for (std::size_t all = c.zone == zone ? 0 : 1; all < 2; ++all) {
+                answers[all] += c.pace.count(now);
+                points[all] += c.points;
+            }
         }
-        return points == 0 ? 0 : deployment_.fall_time * answers / points / kPaceSpan;
+        const std::size_t of = points[0] > 0 ? 0 : 1;
+        return points[of] == 0 ? 0 : deployment_.fall_time * answers[of] / points[of] / kPaceSpan;
     }
     // Exception: machines of one kind that strain more than another take a lesser share of their keys, the
     // same ones at every node with that share. Nobody tells speeds, and the list's sizes may mislead.
@@ -776,11 +776,10 @@
             if (c.ring < 0) continue;
             const auto z = static_cast<std::size_t>(c.ring);
             const double h = held(c);
-            if (h > kHeldMost && h > kHeldTimes * sums[z] / sizes[z]) {
+            if (h > kHeldMost && h > kHeldTimes * sums[z] / sizes[z])
                 c.share = std::max(kCrowdedLeast, c.share * kCrowdedCut);
-            } else if (h < kHeldMost / 2) {
+            else if (h < kHeldMost / 2)
                 c.share = std::min(1.0, c.share + kCrowdedUp);
-            }
         }
         const auto own = static_cast<std::size_t>(deployment_.zone);
         if (sizes[own] <= 0) return;
@@ -788,11 +787,10 @@
         const bool alone = sizes.back() <= sizes[own];
         const double rest = alone ? mean : (sums.back() - sums[own]) / (sizes.back() - sizes[own]);
         const double reached = mean * (1 - reach_) + sums.back() / sizes.back() * reach_;
-        if (reached > kAdmitHeld) {
+        if (reached > kAdmitHeld)
             admitted_ = std::max(admitted_ * kAdmitCut, kAdmitLeast);
-        } else if (reached < 0.75 * kAdmitHeld) {
+        else if (reached < 0.75 * kAdmitHeld)
             admitted_ = std::min(admitted_ + kAdmitUp, 1.0);
-        }
         const double least = kHeldMost / 2;
         lean_ = (mean > std::max(least, kHeldTimes * rest)) - (rest > std::max(least, kHeldTimes * mean));
         if (lean_ * leant_ < 0) zone_step_ = std::max(zone_step_ / 2, kZoneStepLeast);
@@ -955,10 +953,8 @@
     void to_cache(Invocation& v, double now) {
         const int cache = choose(v, now);
         if (cache < 0) {
-            if (!v.what.write && origin_ >= 0 && members_.back() == 0)
-                to_origin(v, now);
-            else
-                close(v);
+            const bool straight = !v.what.write && origin_ >= 0 && members_.back() == 0;
+            straight ? to_origin(v, now) : close(v);
             return;
         }
         send(v, cache, v.useful - now, now);
@@ -1067,7 +1063,8 @@
         for (int inv : waiting) {
             Invocation& w = invs_[static_cast<std::size_t>(inv)];
             w.wait = Wait::none;
-            if (ending == Ending::succeeded && v.missed_at >= 0 && may_forward(w, v.missed_at, now)) {
+            if (ending == Ending::succeeded && v.missed_at >= 0 && may_forward(w, v.missed_at, now) &&
+                has_room(caches_[static_cast<std::size_t>(v.missed_at)], now)) {
                 send(w, v.missed_at, w.useful - now, now);  // it is stored there now
             } else {
                 to_origin(w, now);
@@ -1166,6 +1163,7 @@
     std::shared_ptr<const Deployment> rules_;
     Host& host_;
     std::ranlux24_base chance_;
+    std::uint64_t own_;  // for draws that have to be this node's alone
     std::vector<Cache> caches_;
     std::vector<std::vector<Point>> rings_;
     std::vector<int> members_;  // caches a ring, and forwards out there
