A second answer answers nobody over HTTP; a repeat begins in its window or not at all

Cause, by reading and then by tests. (1) The last used connection to the origin carried the next request at once (Pool::connection_to). HTTP names no request in its answers, and a second copy that came some milliseconds late was served as the next one's value; the look for bytes before the reuse sees only what is there by then. (2) The module lets a deduplicated write be repeated if a connect time-out later is still in its window, but nothing held the repeat to that: a long one, or one whose machine was cut off, lay in the system's buffers and arrived when it was taken in. (3) A given-up connection was closed in the ordinary way, after which the system goes on delivering for minutes (Pool::drop). Ruled out: caches, whose answers name their command.

Over HTTP a connection rests for 50 ms before it carries another request; meanwhile another one does. A repeat of a deduplicated write is taken back unless its last byte is handed on and acknowledged within the connect time-out. A connection with bytes that are not acknowledged is closed by a reset.

Tests, races_test: second copies 0, 2, 10 and 30 ms late; a repeat of 2 MB to an origin that does not take it in: both fail on.

--- a/src/kit/scripted_peer.h
+++ b/src/kit/scripted_peer.h
@@ -58,6 +58,8 @@
     ScriptedPeer& operator=(const ScriptedPeer&) = delete;
 
     void plays(Script script);
+    void takes_at_most(int bytes);  // its side of new connections, beyond what it has read
+    void reads_bodies_after(std::function<double()> seconds);  // how long it leaves each body unread
     void stall();   // accepts no more, with room for one connection in the queue,
     void resume();  // until now
     std::vector<std::string> heard();
@@ -76,6 +78,7 @@
     int listener_;
     std::thread acceptor_;
     std::mutex mutex_;
+    std::function<double()> body_waits_;
     Script script_ = [](const std::string&) { return Act{}; };
     std::vector<std::string> heard_;
     std::list<Line> lines_;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -583,7 +583,12 @@
             talk_->began(monotonic(), forward_key(inv, number), server(cache).name, server(cache).zone,
                          station_.deployment.operations[static_cast<std::size_t>(operation)].latency_objective);
     }
-    pool_.forward(inv, number, cache, v.command, left);
+    // The module reckons that a repeat has begun a connect time-out later: after that it could run beside the time for
+    // which the first is remembered.
+    const int operation = number > 0 ? index_of(station_.names.operations, v.command.properties.operation) : -1;
+    const bool repeat = operation >= 0 && station_.deployment.operations[static_cast<std::size_t>(operation)].repeat ==
+                                              Repeat::deduplicated;
+    pool_.forward(inv, number, cache, v.command, left, repeat ? pool_.connect_timeout() : 0);
 }
 
 // Its connection has come up, perhaps late.
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kInMost = kWholeMost + 16 * 1024;  // a whole value and its head, or a window of a long one
 constexpr std::size_t kUnsizedMost = kValueMost + 16 * 1024;  // where no length is told, it has to be held whole
 constexpr double kStandstill = 10.0;  // s in which a server gives nothing more of a value that it has begun
+constexpr double kHttpRest = 0.05;   // s after an answer over HTTP in which a second copy of it may still come
 constexpr double kIdlePart = 0.8;  // of the idle time told; later the peer may be about to close
 constexpr double kAgeEvery = 1.0;
 
@@ -69,7 +70,7 @@
            static_cast<std::uint32_t>(forward);
 }
 
-void Pool::forward(int inv, int forward, int cache, const Command& command, double limit) {
+void Pool::forward(int inv, int forward, int cache, const Command& command, double limit, double begin_within) {
     const Server& s = server(cache);
     if (!has_place(cache)) {
         log_.line(topic(cache), "no_place_left", s.name + ": this node's part of the fleet's connections is in use, forward not sent");
@@ -86,6 +87,11 @@
     c->id = command.id;
     start(*c, inv, forward, limit,
           s.origin ? origin_request(command, limit, s.address) : command_text(command, limit));
+    if (begin_within <= 0) return;
+    c->begin_by = timers_.at(c->sent + begin_within, [this, c] {
+        c->begin_by = {};
+        if (!sent_whole(*c) || c->stream->unacknowledged()) broken(*c, Ending::timed_out);
+    });
 }
 
 void Pool::probe(int cache, double limit) {
@@ -124,7 +130,8 @@
     const auto at = out_.find(mark(inv, forward));
     if (at == out_.end()) return;  // its end is already on the way
     Connection& c = *at->second;
-    if (monotonic() >= c.due) return broken(c, Ending::timed_out);
+    const bool too_late = c.begin_by.second != 0 && monotonic() >= c.begin_by.first;
+    if (too_late || monotonic() >= c.due) return broken(c, Ending::timed_out);
     if (c.stream->up()) send_off(c);
 }
 
@@ -155,14 +162,23 @@
 }
 
 // The idle one used last, or a new one; none when the budget is spent. What has come on an idle one belongs
-// to no forward: HTTP names none, so a second copy of the last answer would pass for the next one's.
+// to no forward: HTTP names none, so a second copy of the last answer would pass for the next one's. It may come some
+// milliseconds late, so over HTTP a connection rests for a while before it carries another.
 Pool::Connection* Pool::connection_to(int cache) {
-    auto& idle = server(cache).idle;
-    while (!idle.empty() && !idle.back()->stream->rests()) drop(*idle.back());
-    if (idle.empty() || monotonic() - idle.back()->used >= idle_most_) return open(cache);
-    Connection* c = idle.back();
-    idle.pop_back();
-    return c;
+    Server& s = server(cache);
+    const double now = monotonic();
+    for (std::size_t i = s.idle.size(); i-- > 0;) {
+        Connection* c = s.idle[i];
+        if (!c->stream->rests()) {
+            drop(*c);
+            continue;
+        }
+        if (now - c->used >= idle_most_) break;
+        if (s.origin && now - c->used < kHttpRest) continue;
+        s.idle.erase(s.idle.begin() + static_cast<std::ptrdiff_t>(i));
+        return c;
+    }
+    return open(cache);
 }
 
 Pool::Connection* Pool::open(int cache) {
@@ -414,6 +430,7 @@
     c.busy = false;
     c.unsent.clear();
     timers_.call_off(c.limit);
+    timers_.call_off(c.begin_by);
     out_.erase(mark(c.inv, c.forward));
     const double took = monotonic() - c.sent;
     const char* failure = ending == Ending::refused     ? "refused"
@@ -433,7 +450,8 @@
     std::erase(server(c.cache).idle, &c);
     timers_.call_off(c.limit);
     timers_.call_off(c.connect);
-    c.stream->close();
+    timers_.call_off(c.begin_by);
+    c.stream->unacknowledged() ? c.stream->abort() : c.stream->close();
     --live_;
     --server(c.cache).open;
     dropped_ = true;
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -59,7 +59,8 @@
     void know(int cache, const std::string& name, const std::string& address, bool origin);
     bool in_use(int cache) const;  // something of it is still open
     void forget(int cache);        // only what is not in use: its number may then stand for another server
-    void forward(int inv, int forward, int cache, const Command& command, double limit);
+    // `begin_within`: s in which its last byte has to be handed on, or it is not sent; 0: its limit alone counts.
+    void forward(int inv, int forward, int cache, const Command& command, double limit, double begin_within);
     void probe(int cache, double limit);
     void begin(int inv, int forward);
     void decline(int inv, int forward);  // nobody wants it any more: it is not sent, and its connection rests
@@ -69,6 +70,7 @@
     void release(int cache);   // closes the idle ones
     void withdraw(int cache);  // and those that have not begun to carry what they were opened for
     int live() const { return static_cast<int>(live_); }
+    double connect_timeout() const { return connect_timeout_; }
     void keep_to(double part);  // of its connections and bytes: the rest is another process's
     void sweep();              // takes away what was closed in this turn
 
@@ -87,6 +89,7 @@
         double used = 0;
         Timers::Handle limit;
         Timers::Handle connect;
+        Timers::Handle begin_by;
         std::uint64_t relay = 0;  // its long value is being passed on
         LongValue rest;           // what of it has not been
         bool passing = false;     // a piece, whose taker may pull from inside
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -2,7 +2,9 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -265,6 +267,20 @@
     told_(News::ended);
 }
 
+bool Stream::unacknowledged() const {
+    int bytes = 0;
+    return socket_ != nullptr && ioctl(g_socket_get_fd(socket_.get()), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+// After an ordinary close the system goes on trying to deliver, for minutes: a command would arrive at the end of a
+// cut, long after it was given up and sent elsewhere.
+void Stream::abort() {
+    const linger at_once{1, 0};
+    if (socket_ != nullptr)
+        setsockopt(g_socket_get_fd(socket_.get()), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    close();
+}
+
 void Stream::close() {
     unwatch(in_source_);
     unwatch(out_source_);
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -2,6 +2,8 @@
 // signal or a connection that comes between two steps of the node.
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+
 #include <algorithm>
 
 #include "fleet.h"
@@ -328,4 +330,117 @@
     wait_for([&] { return fleet.discovery.heard().back().starts_with("GET /discovery/hosts HTTP"); });
 }
 
+// ---- answers that come twice, repeats that come late ----------------------------------------------------
+
+// HTTP names no request in its answers: a second copy must not answer the next one on that connection.
+TEST(SecondAnswer, SomeMillisecondsLateAnswersNobody) {
+    for (const int late_ms : {0, 2, 10, 30}) {
+        Fleet fleet(1);
+        fleet.caches.front().plays(miss);
+        fleet.origin.plays([late_ms](const std::string& request) {
+            const std::string key = request.substr(5, request.find(' ', 5) - 5);
+            Act act{http("for " + key)};
+            act.wait = [late_ms] { std::this_thread::sleep_for(std::chrono::milliseconds(late_ms)); };
+            act.rest = http("for " + key);
+            return act;
+        });
+        Line line(own_loopback(), fleet.port());
+        for (int n = 0; n < 20; ++n) {
+            const std::string key = "k" + std::to_string(10 + n), id = "s" + std::to_string(n);
+            line.send(read_of(key, id));
+            ASSERT_EQ(line.until("\r\n"), "VA 7 O" + id + "\r\n") << late_ms << " ms";
+            ASSERT_EQ(line.bytes(9), "for " + key + "\r\n") << late_ms << " ms";
+        }
+    }
+}
+
+// The repeat of a deduplicated write has to begin while the first is remembered. A long one begins with its last byte:
+// one that the origin does not take in for so long is taken back, since it has not run.
+TEST(Repeat, DoesNotBeginAfterItsWindow) {
+    Around around;
+    around.put = R"("deduplicated","group":"all","key_ttl_us":1000000)";
+    Fleet fleet(1, around);
+    const std::string value(2 * 1000 * 1000, 'v');
+    std::atomic<int> whole{0};
+    std::atomic<double> first_at{0}, last_at{0};
+    // The first forward is read whole and errs; the next is read late: its connection is up, its bytes are not taken.
+    fleet.origin.plays([&](const std::string& m) {
+        if (m.size() < value.size()) return Act{};  // taken back
+        if (whole++ == 0) first_at = seconds();
+        last_at = seconds();
+        return Act{http("", "500 E")};
+    });
+    fleet.origin.takes_at_most(16 * 1024);
+    fleet.origin.reads_bodies_after([&] { return whole > 0 ? 1.5 : 0.0; });
+    Line line(own_loopback(), fleet.port());
+    line.send("ms k " + std::to_string(value.size()) + " Ow1 Pc=put,d=5000,k=w1\r\n" + value + "\r\n");
+    EXPECT_TRUE(line.until("\r\n").starts_with("SERVER_ERROR "));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1800));  // for what may still be read at the origin
+    EXPECT_GE(whole, 1);
+    EXPECT_LT(last_at - first_at, 1.0);
+}
+
+// ---- starting, and descriptors ---------------------------------------------------------------------------
+
+// Idle clients hold all descriptors that they may while discovery is down; it is heard all the same once it is back,
+// and so are operators and who comes to ask.
+TEST(Descriptors, HeldByIdleClientsLeaveDiscoveryItsOwn) {
+    Agent agent;
+    Around around;
+    around.watch = agent.script();
+    around.descriptors = 64;
+    around.managed = true;
+    Fleet fleet(2, around);
+    const rlimit bound{64, 64};
+    ASSERT_EQ(prlimit(fleet.daemon().pid(), RLIMIT_NOFILE, &bound, nullptr), 0);
+    wait_for([&] { return agent.calls() > 0; });
+    agent.goes(Agent::Way::resets);
+    std::atomic<bool> stop{false};
+    std::vector<std::thread> floods;
+    for (int t = 0; t < 4; ++t) {
+        floods.emplace_back([&, t] {
+            std::list<Line> idle;
+            for (int n = 0; !stop; ++n) {
+                idle.emplace_back(own_loopback(), fleet.port());
+                if ((n + t) % 2 == 0) idle.back().send("mn\r\n");
+                if (idle.size() > 60) idle.pop_front();
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            }
+        });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    ScriptedPeer& drained = fleet.caches.front();
+    agent.has(Fleet::entry(Fleet::name(drained), drained, "DRAINING"), "");
+    const double there = seconds();
+    agent.goes(Agent::Way::answers);
+    wait_for([&] { return fleet.logged("version 8"); });
+    EXPECT_LT(seconds() - there, 6.0);
+    agent.goes(Agent::Way::silent);
+    EXPECT_EQ(Fleet::call(fleet.management(), "GET", "/control/ready"), 200);
+    const double asked = seconds();
+    EXPECT_EQ(fleet.ask(read_of("7f3a", "d1")), "VA 5 Od1\r\n");
+    EXPECT_LT(seconds() - asked, 5.0);
+    stop = true;
+    for (std::thread& f : floods) f.join();
+}
+
+// Clients wait in the backlog before the process is there, say nothing, and discovery is down: it is ready all the same.
+TEST(Start, WithABacklogOfIdleClientsAndNoDiscoveryIsReadyInTime) {
+    Around around;
+    around.descriptors = 256;
+    around.managed = true;
+    around.inherited = true;  // the test holds the listener, and its backlog with it
+    Fleet fleet(1, around);
+    fleet.daemon().kill();
+    std::list<Line> idle;
+    for (int n = 0; n < 900; ++n) idle.emplace_back(own_loopback(), fleet.port());
+    const double from = seconds();
+    const Process next = fleet.second();
+    Line line(own_loopback(), fleet.port());
+    line.send("mn\r\n");
+    EXPECT_EQ(line.until("\r\n"), "MN\r\n");
+    std::printf("ready after %.2f s behind 900 idle clients\n", seconds() - from);
+    EXPECT_LT(seconds() - from, 10.0);
+}
+
 }  // namespace
