Connections that rest are ended before they are closed, so that no answer goes with a crossing command

At shutdown, and where too many clients ask once and stay, a connection that had rested for 50 ms was closed outright (Clients::close_if_done, part_with_idle). What was answered last may still lie with the system when its client takes it slowly; a command that crosses the close resets the connection and the rest of the answer goes with it. And the lingering time ran from the end of the commands, not from when the last byte was given to the system.

One way to part with a client: the end of sending, then what comes is read and thrown away, for 1 s from the last byte on, or until the client has ended. Outright only where the descriptor is needed in that moment: at the limit (those that are ending go first), for a second process, and for clients that never asked. Weighed: each connection parted with holds its descriptor for up to 1 s more, in all those a node ends in one second; at shutdown nobody else needs them.

Tests, races_test: a client that takes 600 kB late while its next command crosses, at shutdown and at the limit of resting clients: on both lose the answer. Two that force an order which does no harm there either: half a command at SIGTERM whose rest comes after the others are closed, alone, with a second SIGTERM and with SIGHUP; eight clients that send until their connection ends (each command answered or unread, and none sent on without its answer).

Why the other places need none. SIGTERM between accept and read: a new connection is kept 0.5 s and each that holds unread bytes until they are read (between_commands). Between read and forward, and between the answer and its write: one turn of the loop does both, signals are heard between turns. A command read after the end of sending: Client::last is set in the same step, and what is read then is thrown away (read_commands).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -27,7 +27,9 @@
 constexpr double kUntaken = 10.0;  // s in which a client takes no byte of its answers
 constexpr double kAgeEvery = 0.05;
 constexpr const char* kNoMemory = "SERVER_ERROR out of memory";
-constexpr double kLinger = 1.0;  // s; closing with bytes unread would reset what is still on its way out
+// A close over bytes that are not read resets the connection, and what is still on its way out goes with it. So the end
+// of sending comes first, and what the client sends behind it is read and thrown away for so long, s.
+constexpr double kLinger = 1.0;
 
 }  // namespace
 
@@ -121,8 +123,9 @@
     Client* oldest = nullptr;
     std::uint64_t oldest_id = 0;
     for (auto& [id, c] : clients_) {
+        const bool is_closing = c.finishing && !c.stream->closed();
         if ((oldest != nullptr && c.used >= oldest->used) || c.stream->unwritten() > 0) continue;
-        if (!between_commands(c)) continue;
+        if (!is_closing && !between_commands(c)) continue;
         oldest = &c;
         oldest_id = id;
     }
@@ -132,7 +135,8 @@
 
 void Clients::news(std::uint64_t id, Client& c, Stream::News what) {
     if (what == Stream::News::ended) return drop(id, c);
-    if (what == Stream::News::input) c.used = monotonic();
+    if (what == Stream::News::input && !c.finishing) c.used = monotonic();
+    if (what == Stream::News::drained && c.finishing) linger(id, c);
     read_commands(id, c);
     if (what == Stream::News::drained && !c.pending.empty() && c.pending.front().relay != 0)
         relayed_.room(c.pending.front().relay);
@@ -231,7 +235,7 @@
     }
     std::sort(idle.begin(), idle.end());
     for (std::size_t i = 0; i + kept < idle.size() && now - idle[i].first >= kIdleLeast; ++i)
-        drop(idle[i].second, clients_.at(idle[i].second));
+        part_with(idle[i].second, clients_.at(idle[i].second));
 }
 
 void Clients::age(std::uint64_t id, Client& c, double now) {
@@ -346,10 +350,12 @@
 void Clients::close_if_done(std::uint64_t id, Client& c) {
     const bool done = c.last ? c.pending.empty() : winding_down_ && between_commands(c);
     if (!done || c.finishing) return;
-    // What was last written has long been taken: the descriptor is free at once, which another process may need.
-    // Sooner, a command that crosses would reset the answer on its way.
     const bool rested = c.stream->unwritten() == 0 && monotonic() - c.used >= kIdleLeast;
-    if (winding_down_ && !c.last && rested) return drop(id, c);
+    if (at_once_ && !c.last && rested) return drop(id, c);
+    part_with(id, c);
+}
+
+void Clients::part_with(std::uint64_t id, Client& c) {
     c.last = c.finishing = true;
     c.stream->finish();
     linger(id, c);
@@ -357,6 +363,7 @@
 
 // Time runs from when all is written: a slow client still takes the whole of its last answer.
 void Clients::linger(std::uint64_t id, Client& c) {
+    timers_.call_off(c.linger);
     c.linger = timers_.at(monotonic() + kLinger, [this, id, &c] {
         c.linger = {};
         if (c.stream->unwritten() > 0) {
@@ -367,8 +374,9 @@
     });
 }
 
-void Clients::wind_down() {
+void Clients::wind_down(bool at_once) {
     winding_down_ = true;
+    at_once_ = at_once;
     for (auto& [id, c] : clients_) {
         if (!c.stream->closed()) close_if_done(id, c);
     }
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -52,8 +52,9 @@
     std::size_t room(const Asker& asker) const;
     void piece(const Asker& asker, std::string_view bytes);
     void end_long(const Asker& asker, bool whole, std::string_view line);
-    // From now on each connection is closed once it has nothing to be answered.
-    void wind_down();
+    // From now on each connection is closed once it has nothing to be answered. `at_once`: those that rest give back
+    // their descriptor in the same moment, which another process of this node needs.
+    void wind_down(bool at_once);
     // Whether whoever asked has closed its connection; if so it is dropped, though its end may not be read yet.
     bool has_gone(const Asker& asker);
     bool none() const { return live_ == 0; }
@@ -101,6 +102,7 @@
     void part_with_idle(double now);
     void age(std::uint64_t id, Client& c, double now);
     void close_if_done(std::uint64_t id, Client& c);
+    void part_with(std::uint64_t id, Client& c);
     void linger(std::uint64_t id, Client& c);
     void forget_pending(std::uint64_t id, Client& c);
     void drop(std::uint64_t id, Client& c);
@@ -126,6 +128,7 @@
     std::uint64_t last_id_ = 0;
     double last_command_ = 0;
     bool winding_down_ = false;
+    bool at_once_ = false;
 };
 
 }  // namespace brookrelay
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -825,11 +825,11 @@
     if (shared_) {
         closes_at_ = now;
         clients_.stop_accepting();
-        clients_.wind_down();
+        clients_.wind_down(true);
         return look_whether_done();
     }
     closes_at_ = now + std::min(kServeOn, left / 2);
-    timers_.at(closes_at_, [this] { clients_.wind_down(); });
+    timers_.at(closes_at_, [this] { clients_.wind_down(false); });
     look_whether_done();
 }
 
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -380,6 +380,119 @@
     EXPECT_LT(last_at - first_at, 1.0);
 }
 
+// ---- closing ---------------------------------------------------------------------------------------------
+
+// Asks for much and takes it late; its next command crosses the close.
+class Slow {
+  public:
+    static constexpr std::size_t kLength = 600 * 1000;
+    explicit Slow(Fleet& fleet) : line_(own_loopback(), fleet.port()) {
+        fleet.caches.front().plays([](const std::string& m) {
+            if (id_in(m) != "slow") return hit(m);
+            return Act{"VA " + std::to_string(kLength) + " Oslow h1\r\n" + std::string(kLength, 'x') + "\r\n"};
+        });
+        line_.send(read_of("7f3a", "slow"));
+    }
+    void crosses() { line_.send(read_of("7f3a", "crossing")); }
+    void expect_whole() {
+        EXPECT_EQ(line_.until("\r\n"), "VA " + std::to_string(kLength) + " Oslow\r\n");
+        EXPECT_EQ(line_.bytes(kLength + 2).size(), kLength + 2);
+        EXPECT_TRUE(line_.closed_by_peer());
+    }
+
+  private:
+    Line line_;
+};
+
+// Closed outright, its connection was reset by the command that crossed, and the rest of the answer went with it.
+TEST(Closing, AtShutdownTakesNoAnswerAlong) {
+    Fleet fleet(1);
+    Slow slow(fleet);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    fleet.signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1250));  // its connection is closed at 1 s
+    slow.crosses();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    slow.expect_whole();
+    const auto heard = fleet.caches.front().heard();
+    EXPECT_TRUE(std::none_of(heard.begin(), heard.end(), [](const std::string& m) { return id_in(m) == "crossing"; }));
+    EXPECT_EQ(fleet.exit_code(), 0);
+}
+
+TEST(Closing, OfThoseIdleForLongestTakesNoAnswerAlong) {
+    Around around;
+    around.descriptors = 64;  // room for 28 clients, of whom two may rest
+    Fleet fleet(1, around);
+    Slow slow(fleet);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    std::list<Line> others;
+    for (int n = 0; n < 6; ++n) {
+        others.emplace_back(own_loopback(), fleet.port());
+        others.back().send(read_of("7f3a", "o" + std::to_string(n)));
+        EXPECT_TRUE(others.back().until("hello\r\n").ends_with("hello\r\n"));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    slow.crosses();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    slow.expect_whole();
+}
+
+// Half a command at the signal, its rest after the connections that rest are closed: taken, and so answered. A second
+// signal and a new configuration change nothing of it.
+TEST(Closing, WaitsForACommandThatIsHalfHere) {
+    for (const int again : {0, SIGTERM, SIGHUP}) {
+        Fleet fleet(1);
+        Line half(own_loopback(), fleet.port());
+        Line rests(own_loopback(), fleet.port());
+        rests.send("mn\r\n");
+        ASSERT_EQ(rests.until("\r\n"), "MN\r\n");
+        half.send("mg 7f3a v Oha");
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        fleet.signal(SIGTERM);
+        if (again != 0) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+            fleet.signal(again);
+        }
+        EXPECT_TRUE(rests.closed_by_peer());
+        half.send("lf Pc=read,t=acme,d=1000\r\n");
+        EXPECT_EQ(half.until("hello\r\n"), "VA 5 Ohalf\r\nhello\r\n") << again;
+        EXPECT_TRUE(half.closed_by_peer());
+        EXPECT_EQ(fleet.exit_code(), 0);
+    }
+}
+
+// Clients that send on each connection for as long as it stays open: each command is answered, or its connection is
+// closed before it was read; none is sent on after the node ended its sending.
+TEST(Closing, OfClientsThatGoOnSendingLosesNothing) {
+    Fleet fleet(1);
+    std::atomic<bool> told{false};
+    std::atomic<int> answered{0}, cut{0};
+    std::vector<std::thread> clients;
+    for (int t = 0; t < 8; ++t) {
+        clients.emplace_back([&, t] {
+            Line line(own_loopback(), fleet.port());
+            for (int n = 0;; ++n) {
+                const std::string id = "t" + std::to_string(t) + "n" + std::to_string(n);
+                line.send(read_of("k" + std::to_string(n % 9), id));
+                const std::string answer = line.until("hello\r\n");
+                if (answer.empty()) break;  // closed between two commands
+                if (answer == "VA 5 O" + id + "\r\nhello\r\n") {
+                    ++answered;
+                } else {
+                    ++cut;
+                }
+            }
+        });
+    }
+    wait_for([&] { return answered > 50; });
+    fleet.signal(SIGTERM);
+    told = true;
+    EXPECT_EQ(fleet.exit_code(), 0);
+    for (std::thread& c : clients) c.join();
+    EXPECT_EQ(cut, 0);
+    EXPECT_EQ(static_cast<int>(fleet.caches.front().heard().size()), answered);
+}
+
 // ---- starting, and descriptors ---------------------------------------------------------------------------
 
 // Idle clients hold all descriptors that they may while discovery is down; it is heard all the same once it is back,
