Over HTTP the next request waits for the rest on its connection, instead of opening another

The request waits on the connection for what is left of 40 ms (unsent, as before a late connection). Something that comes meanwhile ends the connection, and the request takes another, at no token of the retry budget.

Tests: SecondAnswer in races_test as it was, 0 to 30 ms late.

--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t kInMost = kWholeMost + 16 * 1024;  // a whole value and its head, or a window of a long one
 constexpr std::size_t kUnsizedMost = kValueMost + 16 * 1024;  // where no length is told, it has to be held whole
 constexpr double kStandstill = 10.0;  // s in which a server gives nothing more of a value that it has begun
-constexpr double kHttpRest = 0.05;   // s after an answer over HTTP in which a second copy of it may still come
+constexpr double kHttpRest = 0.04;   // s after an answer over HTTP in which a second copy of it may still come
 constexpr double kIdlePart = 0.8;  // of the idle time told; later the peer may be about to close
 constexpr double kAgeEvery = 1.0;
 
@@ -85,13 +85,8 @@
     }
     c->read = command.kind == Command::Kind::read;
     c->id = command.id;
-    start(*c, inv, forward, limit,
+    start(*c, inv, forward, limit, begin_within,
           s.origin ? origin_request(command, limit, s.address) : command_text(command, limit));
-    if (begin_within <= 0) return;
-    c->begin_by = timers_.at(c->sent + begin_within, [this, c] {
-        c->begin_by = {};
-        if (!sent_whole(*c) || c->stream->unacknowledged()) broken(*c, Ending::timed_out);
-    });
 }
 
 void Pool::probe(int cache, double limit) {
@@ -104,10 +99,10 @@
     c->read = false;
     c->id.clear();
     const Server& s = server(cache);
-    start(*c, kProbe, number, limit, s.origin ? http_request("GET", "/alive", s.address, {}, {}) : "mn\r\n");
+    start(*c, kProbe, number, limit, 0, s.origin ? http_request("GET", "/alive", s.address, {}, {}) : "mn\r\n");
 }
 
-void Pool::start(Connection& c, int inv, int forward, double limit, std::string bytes) {
+void Pool::start(Connection& c, int inv, int forward, double limit, double begin_within, std::string bytes) {
     c.busy = true;
     c.inv = inv;
     c.forward = forward;
@@ -118,8 +113,40 @@
         c.limit = {};
         broken(c, Ending::timed_out);
     });
+    if (begin_within > 0) {
+        c.begin_by = timers_.at(c.sent + begin_within, [this, &c] {
+            c.begin_by = {};
+            if (!sent_whole(c) || c.stream->unacknowledged()) broken(c, Ending::timed_out);
+        });
+    }
     c.unsent = std::move(bytes);
-    if (c.stream->up()) send_off(c);
+    if (!c.stream->up()) return;
+    // A second copy of the last answer may come some milliseconds late. Another connection in the meantime would be one
+    // more of the few that a server holds.
+    const double rested = server(c.cache).origin && c.used > 0 ? c.used + kHttpRest : 0;
+    if (rested <= c.sent) return send_off(c);
+    c.rest_by = timers_.at(rested, [this, &c] {
+        c.rest_by = {};
+        c.inv == kProbe ? send_off(c) : up_(c.inv, c.forward);
+    });
+}
+
+// Its connection turned out, while it rested, to be good for nobody: the forward has not begun, and takes another.
+void Pool::move_on(Connection& c) {
+    log_.line(topic(c.cache), "second_answer", server(c.cache).name + ": closed or answered again while it rested, not used any more");
+    const double now = monotonic();
+    const int inv = c.inv, number = c.forward, cache = c.cache;
+    const bool read = c.read;
+    const double limit = c.due - now, begin_within = c.begin_by.second != 0 ? std::max(c.begin_by.first - now, 1e-6) : 0;
+    std::string id = std::move(c.id), bytes = std::exchange(c.unsent, {});
+    out_.erase(mark(inv, number));
+    c.busy = false;
+    drop(c);
+    Connection* next = connection_to(cache);
+    if (next == nullptr) return tell_({inv, number, cache, Ending::refused, now - c.sent, {}, 0, 0});
+    next->read = read;
+    next->id = std::move(id);
+    start(*next, inv, number, limit, begin_within, std::move(bytes));
 }
 
 // Given to the stream before it is up, the bytes would go the moment it comes up: also past their time, to a server
@@ -162,23 +189,14 @@
 }
 
 // The idle one used last, or a new one; none when the budget is spent. What has come on an idle one belongs
-// to no forward: HTTP names none, so a second copy of the last answer would pass for the next one's. It may come some
-// milliseconds late, so over HTTP a connection rests for a while before it carries another.
+// to no forward: HTTP names none, so a second copy of the last answer would pass for the next one's.
 Pool::Connection* Pool::connection_to(int cache) {
-    Server& s = server(cache);
-    const double now = monotonic();
-    for (std::size_t i = s.idle.size(); i-- > 0;) {
-        Connection* c = s.idle[i];
-        if (!c->stream->rests()) {
-            drop(*c);
-            continue;
-        }
-        if (now - c->used >= idle_most_) break;
-        if (s.origin && now - c->used < kHttpRest) continue;
-        s.idle.erase(s.idle.begin() + static_cast<std::ptrdiff_t>(i));
-        return c;
-    }
-    return open(cache);
+    auto& idle = server(cache).idle;
+    while (!idle.empty() && !idle.back()->stream->rests()) drop(*idle.back());
+    if (idle.empty() || monotonic() - idle.back()->used >= idle_most_) return open(cache);
+    Connection* c = idle.back();
+    idle.pop_back();
+    return c;
 }
 
 Pool::Connection* Pool::open(int cache) {
@@ -221,6 +239,7 @@
 }
 
 void Pool::news(Connection& c, Stream::News what) {
+    if (c.rest_by.second != 0 && what != Stream::News::drained) return move_on(c);
     switch (what) {
         case Stream::News::up:
             // After a standstill the loop may hear of this before its timer, which is due all the same.
@@ -431,6 +450,7 @@
     c.unsent.clear();
     timers_.call_off(c.limit);
     timers_.call_off(c.begin_by);
+    timers_.call_off(c.rest_by);
     out_.erase(mark(c.inv, c.forward));
     const double took = monotonic() - c.sent;
     const char* failure = ending == Ending::refused     ? "refused"
@@ -451,6 +471,7 @@
     timers_.call_off(c.limit);
     timers_.call_off(c.connect);
     timers_.call_off(c.begin_by);
+    timers_.call_off(c.rest_by);
     c.stream->unacknowledged() ? c.stream->abort() : c.stream->close();
     --live_;
     --server(c.cache).open;
--- a/src/net/pool.h
+++ b/src/net/pool.h
@@ -90,6 +90,7 @@
         Timers::Handle limit;
         Timers::Handle connect;
         Timers::Handle begin_by;
+        Timers::Handle rest_by;
         std::uint64_t relay = 0;  // its long value is being passed on
         LongValue rest;           // what of it has not been
         bool passing = false;     // a piece, whose taker may pull from inside
@@ -108,7 +109,8 @@
     Connection* open(int cache);
     bool has_place(int cache);
     bool make_room();
-    void start(Connection& c, int inv, int forward, double limit, std::string bytes);
+    void start(Connection& c, int inv, int forward, double limit, double begin_within, std::string bytes);
+    void move_on(Connection& c);
     void send_off(Connection& c);
     void news(Connection& c, Stream::News news);
     void read_answer(Connection& c, bool ended = false);  // `ended`: by an orderly end behind what has come
