--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -219,13 +219,13 @@
     for (auto& [id, c] : clients_) {
         if (!c.stream->closed() && c.waits) read_commands(id, c);
         if (!c.stream->closed()) age(id, c, now);
-        if (winding_down_ && !c.stream->closed()) close_if_done(id, c);
+        if (shutting_down_ && !c.stream->closed()) close_if_done(id, c);
     }
-    part_with_idle(now);
+    close_longest_idle(now);
     timers_.at(now + kAgeEvery, [this] { age(); });
 }
 
-void Clients::part_with_idle(double now) {
+void Clients::close_longest_idle(double now) {
     const auto kept = static_cast<std::size_t>(kIdlePart * static_cast<double>(most_));
     if (live_ <= kept) return;  // each look below asks the kernel once a client
     std::vector<std::pair<double, std::uint64_t>> idle;
@@ -235,7 +235,7 @@
     }
     std::sort(idle.begin(), idle.end());
     for (std::size_t i = 0; i + kept < idle.size() && now - idle[i].first >= kIdleLeast; ++i)
-        part_with(idle[i].second, clients_.at(idle[i].second));
+        close_gracefully(idle[i].second, clients_.at(idle[i].second));
 }
 
 void Clients::age(std::uint64_t id, Client& c, double now) {
@@ -348,14 +348,14 @@
 }
 
 void Clients::close_if_done(std::uint64_t id, Client& c) {
-    const bool done = c.last ? c.pending.empty() : winding_down_ && between_commands(c);
+    const bool done = c.last ? c.pending.empty() : shutting_down_ && between_commands(c);
     if (!done || c.finishing) return;
     const bool rested = c.stream->unwritten() == 0 && monotonic() - c.used >= kIdleLeast;
     if (at_once_ && !c.last && rested) return drop(id, c);
-    part_with(id, c);
+    close_gracefully(id, c);
 }
 
-void Clients::part_with(std::uint64_t id, Client& c) {
+void Clients::close_gracefully(std::uint64_t id, Client& c) {
     c.last = c.finishing = true;
     c.stream->finish();
     linger(id, c);
@@ -374,8 +374,8 @@
     });
 }
 
-void Clients::wind_down(bool at_once) {
-    winding_down_ = true;
+void Clients::begin_shutdown(bool at_once) {
+    shutting_down_ = true;
     at_once_ = at_once;
     for (auto& [id, c] : clients_) {
         if (!c.stream->closed()) close_if_done(id, c);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -54,7 +54,7 @@
     void end_long(const Asker& asker, bool whole, std::string_view line);
     // From now on each connection is closed once it has nothing to be answered. `at_once`: those that rest give back
     // their descriptor in the same moment, which another process of this node needs.
-    void wind_down(bool at_once);
+    void begin_shutdown(bool at_once);
     // Whether whoever asked has closed its connection; if so it is dropped, though its end may not be read yet.
     bool has_gone(const Asker& asker);
     bool none() const { return live_ == 0; }
@@ -99,10 +99,10 @@
     void write_answers(Client& c);
     void turn_away(std::uint64_t id, Client& c, const char* line);
     void age();
-    void part_with_idle(double now);
+    void close_longest_idle(double now);
     void age(std::uint64_t id, Client& c, double now);
     void close_if_done(std::uint64_t id, Client& c);
-    void part_with(std::uint64_t id, Client& c);
+    void close_gracefully(std::uint64_t id, Client& c);
     void linger(std::uint64_t id, Client& c);
     void forget_pending(std::uint64_t id, Client& c);
     void drop(std::uint64_t id, Client& c);
@@ -127,7 +127,7 @@
     std::size_t held_ = 0;  // commands without their answer written
     std::uint64_t last_id_ = 0;
     double last_command_ = 0;
-    bool winding_down_ = false;
+    bool shutting_down_ = false;
     bool at_once_ = false;
 };
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -810,7 +810,7 @@
 
 // ---- winding down ------------------------------------------------------------------------------------
 
-void Node::wind_down() {
+void Node::begin_shutdown() {
     if (closes_at_ > 0) return;
     log_.line(Topic::node, "told_to_end",
               shared_ ? "told to end: the other processes on the listener take who comes"
@@ -825,11 +825,11 @@
     if (shared_) {
         closes_at_ = now;
         clients_.stop_accepting();
-        clients_.wind_down(true);
+        clients_.begin_shutdown(true);
         return look_whether_done();
     }
     closes_at_ = now + std::min(kServeOn, left / 2);
-    timers_.at(closes_at_, [this] { clients_.wind_down(false); });
+    timers_.at(closes_at_, [this] { clients_.begin_shutdown(false); });
     look_whether_done();
 }
 
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -39,7 +39,7 @@
     bool has_work() const { return !inbox_.empty(); }
     // All of it that can be live, or nothing; of the operators' own file the fleet's limits.
     void reload(const Station& station, const OperatorFile& operator_file);
-    void wind_down();
+    void begin_shutdown();
     bool done() const { return done_; }
 
     void forward(int inv, int cache, double limit) override;
--- a/src/net/serve.cpp
+++ b/src/net/serve.cpp
@@ -71,7 +71,7 @@
     Node node(station, operator_file, log);
     Running running{path, log, node, read_again_file};
     const auto told_to_end = [](gpointer self) -> gboolean {
-        static_cast<Running*>(self)->node.wind_down();
+        static_cast<Running*>(self)->node.begin_shutdown();
         return G_SOURCE_CONTINUE;
     };
     const auto told_to_read = [](gpointer self) -> gboolean {
--- a/tests/processes_test.cpp
+++ b/tests/processes_test.cpp
@@ -52,6 +52,51 @@
 constexpr double kKnowMost = 8;  // s until all know, and until all have let go: docs/fleet.md has the distribution
 constexpr double kLetGoMost = 10;
 
+// Each node alone, without talk: no one's part of what a cold cache may be sent is a whole forward, and all of them ask for
+// the same popular keys. The kit's caches fall at what the settings allow and no chance beyond it.
+struct ColdDay {
+    const char* name;
+    int nodes;
+    bool uneven, restarted;
+};
+class ColdCaches : public testing::TestWithParam<ColdDay> {};
+
+TEST_P(ColdCaches, AreNotPushedOverByTheSumOfProcesses) {
+    const ColdDay& c = GetParam();
+    Scenario s = fleet_day(c.nodes, 1, 18);
+    s.talk = false;
+    s.clients.rate = 60;
+    s.kinds[0].slots = 1;
+    s.kinds[0].queue = 200;
+    s.operations[0].work = 0.12;  // a cache carries 8 a second, and a cold one a third of that
+    s.operations[0].promised.client_timeout = 2;
+    s.operations[0].promised.latency_objective = 1;
+    s.fall_multiple = 2.5;
+    s.fall_time = 1;
+    s.keys.skew = 1.3;
+    if (c.uneven) {
+        TenantPlan few{"few", 1, 0, {"n0", "n1", "n2"}};
+        TenantPlan many{"many", 1};
+        s.tenants = {few, many};
+    }
+    Trouble cold = trouble(TroubleKind::cold_return, 6, 0);
+    cold.who = {"box-2", "box-3", "box-5", "box-7", "box-8", "box-11"};
+    Trouble hot = trouble(TroubleKind::hot_key, 4, 12);
+    hot.part = 0.35;
+    s.troubles = {cold, hot};
+    if (c.restarted) {
+        Trouble killed = trouble(TroubleKind::node_kill, 6.5, 0.5);
+        for (int n = 0; n < c.nodes; ++n) killed.nodes.push_back(n);
+        s.troubles.push_back(killed);
+    }
+    const Played p = play(s);
+    EXPECT_GT(p.result.verdict.forwards, 300) << p.told;
+}
+
+INSTANTIATE_TEST_SUITE_P(Days, ColdCaches,
+                         testing::Values(ColdDay{"thirty_uneven", 30, true, false}, ColdDay{"thirty_restarted", 30, false, true}),
+                         [](const auto& c) { return c.param.name; });
+
 TEST(Processes, FindASlowCacheTogetherAndLetGoOfItAgain) {
     Scenario s = fleet_day(8, 1, 22);
     s.troubles = {slow("box-5", 3, 9)};
