--- /dev/null
+++ b/tests/client_connections_test.cpp
@@ -0,0 +1,86 @@
+// The program's side towards its clients, over real connections: commands that wait for others, commands that
+// stop halfway, and responses that break off in front of others.
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+#include "fleet.h"
+
+namespace {
+
+using namespace brookrelay::testkit;
+
+constexpr auto kMillisecond = std::chrono::milliseconds(1);
+
+double seconds() {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+// ---- commands that are not read yet ----------------------------------------------------------------------
+
+// While all clients together have many unanswered commands, further pipelined ones wait unread. Once the others
+// are answered they are read on, and their client has not been silent meanwhile.
+TEST(HeldBack, CommandsAreReadOnOnceOtherClientsAreAnswered) {
+    constexpr int kOtherClients = 30;  // each with one command: more than 64 descriptors let be pipelined
+    constexpr int kPipelined = 6;
+    Around around;
+    around.descriptors = 128;
+    Fleet fleet(1, around);
+    std::atomic<bool> answers_others{false}, answers_first{false};
+    fleet.caches.front().plays([&](const std::string& command) {
+        const std::string id = id_in(command);
+        while (id.starts_with("other") && !answers_others) std::this_thread::sleep_for(kMillisecond);
+        while (id == "held0" && !answers_first) std::this_thread::sleep_for(kMillisecond);
+        return hit(command);
+    });
+    std::list<Line> others;
+    for (int n = 0; n < kOtherClients; ++n) {
+        others.emplace_back(own_loopback(), fleet.port());
+        others.back().send(read_of("k" + std::to_string(n), "other" + std::to_string(n), 60000));
+    }
+    wait_for([&] { return fleet.caches.front().heard().size() >= 8; });
+    Line held(own_loopback(), fleet.port());
+    std::string commands;
+    for (int n = 0; n < kPipelined; ++n) commands += read_of("7f3a", "held" + std::to_string(n), 60000);
+    held.send(commands);
+    std::this_thread::sleep_for(200 * kMillisecond);
+    answers_others = true;
+    for (Line& other : others) EXPECT_TRUE(other.until("hello\r\n").ends_with("hello\r\n"));
+    std::this_thread::sleep_for(3200 * kMillisecond);  // longer than a silent client is kept
+    answers_first = true;
+    for (int n = 0; n < kPipelined; ++n)
+        EXPECT_EQ(held.until("hello\r\n"), "VA 5 Oheld" + std::to_string(n) + "\r\nhello\r\n");
+    EXPECT_FALSE(fleet.logged("incomplete command"));
+}
+
+// ---- commands that stop halfway --------------------------------------------------------------------------
+
+constexpr double kBadClientSeconds = 3;  // within which a client that stops inside a command has its error
+
+TEST(HalfCommand, InsideALongValueIsEndedInTime) {
+    Fleet fleet(1);
+    Line line(own_loopback(), fleet.port());
+    line.send("ms k 300000 Ow1 Pc=put,d=60000,k=w1\r\n" + std::string(100000, 'v'));
+    const double stopped = seconds();
+    (void)line.until("\r\n");
+    EXPECT_LT(seconds() - stopped, kBadClientSeconds);
+}
+
+// Its answer fills all buffers between here and there, and its next command never ends.
+TEST(HalfCommand, OfAClientThatReadsNothingIsEndedInTime) {
+    constexpr std::size_t kLength = 4 * 1000 * 1000;
+    Fleet fleet(1);
+    fleet.caches.front().plays([](const std::string& m) {
+        return Act{"VA " + std::to_string(kLength) + " O" + id_in(m) + " h1\r\n" + std::string(kLength, 'x') +
+                   "\r\n"};
+    });
+    Line line(own_loopback(), fleet.port());
+    line.send(read_of("7f3a", "r1", 60000));
+    std::this_thread::sleep_for(500 * kMillisecond);
+    line.send("mg 7f3a v Oha");
+    const double stopped = seconds();
+    wait_for([&] { return fleet.caches.front().ended >= 1; });  // the rest of the value is not wanted any more
+    EXPECT_LT(seconds() - stopped, kBadClientSeconds);
+}
+
+}  // namespace
