Commands held back are resumed by whoever ends the pressure, and keep their arrival time

Cause: ClientConnections::may_accept_command refused while all clients together had many unanswered commands, and nobody read on once that ended; check_timeouts took the unread whole command for half of one, rejected it and closed the connection. Change: HoldReason names why whole commands are not read and who reads on; the silence timeout runs neither for them nor for input that waits in the kernel. A command that waited keeps its arrival time (ArrivalTimes), so its deadline is not told anew. A half command behind an unread response and a long value that stops are ended after 2.5 s. Out of memory, each whole command in the input is answered instead of being discarded.

--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -17,9 +17,8 @@
 constexpr double kFirstCommandGraceSeconds = 0.5;  // a new client is not evicted before it had time to write
 // Descriptors are scarce, so clients that are silent or stop inside a command are closed. The timeouts run
 // from the last byte received: a slow client that makes progress is served.
-constexpr double kSilenceTimeoutSeconds = 2.5;     // before the first command, and inside any command
-constexpr double kLongValueTimeoutSeconds = 10.0;  // inside a long value
-constexpr double kIdleTimeoutSeconds = 30.0;       // between two commands
+constexpr double kSilenceTimeoutSeconds = 2.5;  // before the first command, and inside any command
+constexpr double kIdleTimeoutSeconds = 30.0;    // between two commands
 // Clients that send one command and stay connected could hold all connections. So beyond this fraction of the
 // connections the longest idle ones are closed, unless their next command may already be on its way.
 constexpr double kMaxIdleFraction = 0.1;
@@ -109,57 +108,77 @@
 
 void ClientConnections::on_event(std::uint64_t id, Client& client, TcpConnection::Event event) {
     if (event == TcpConnection::Event::closed) return close(id, client);
-    if (event == TcpConnection::Event::readable && !client.closing) client.last_used = monotonic_now();
+    if (event == TcpConnection::Event::readable) {
+        client.arrival_times.on_received(client.connection->input().size(), client.connection->received_at());
+        if (!client.closing) client.last_used = monotonic_now();
+    }
     if (event == TcpConnection::Event::drained && client.closing) start_lingering_close(id, client);
     read_commands(id, client);
     if (event == TcpConnection::Event::drained && !client.pending.empty() &&
         client.pending.front().stream != 0)
         stream_callbacks_.on_writable(client.pending.front().stream);
     if (budget_.exceeded() && client.reserved == 0 && client.connection->input().size() > kMaxLineBytes)
-        return reject_connection(id, client, kOutOfMemoryLine);
+        return shed_input(id, client);
     close_if_done(id, client);
 }
 
+double ClientConnections::consume(Client& client, std::size_t bytes) {
+    client.connection->consume(bytes);
+    return client.arrival_times.on_consumed(bytes);
+}
+
+void ClientConnections::discard_input(Client& client) {
+    (void)consume(client, client.connection->input().size());
+}
+
 void ClientConnections::read_commands(std::uint64_t id, Client& client) {
-    if (client.reading_stopped) {
-        client.connection->consume(client.connection->input().size());
-        return;
-    }
-    while (!client.reading_stopped && may_accept_command(client)) {
+    client.held_back = HoldReason::none;
+    while (!client.reading_stopped) {
+        if (client.connection->input().empty()) return;
+        const HoldReason reason = why_held_back(client);
+        if (reason != HoldReason::none) return hold_back(id, client, reason);
         Command command;
         const std::size_t parsed_bytes = parse_command(client.connection->input(), command);
-        if (parsed_bytes == 0 && !may_continue_reading(client)) client.last_used = monotonic_now();
-        if (parsed_bytes == 0) break;
-        client.connection->consume(parsed_bytes);
-        last_command_at_ = monotonic_now();
-        PendingResponse& response = client.pending.emplace_back();
-        if (client.reserved > 0) client.connection->set_read_limit(kReadLimitBytes);
-        response.reserved = std::exchange(client.reserved, 0);
-        ++unanswered_commands_;
-        if (command.kind == Command::Kind::hello) {
-            finish_response(response, "MN\r\n");
-        } else if (command.kind == Command::Kind::malformed) {
-            const std::string error = command.error;
-            log_.line(Topic::client, error.empty() ? "unknown_command" : "malformed",
-                      error.empty() ? "unknown command" : "malformed: " + error);
-            finish_response(response, error.empty() ? "ERROR\r\n" : "CLIENT_ERROR " + error + "\r\n");
-            client.reading_stopped = command.framing_lost;
-        } else {
-            response.request =
-                on_command_({id, client.first_command + client.pending.size() - 1}, std::move(command));
-            continue;
+        if (parsed_bytes == 0) {
+            if (!reserve_long_value(client)) client.held_back = HoldReason::memory_of_all;
+            return;
         }
-        write_responses(client);
+        handle_command(id, client, std::move(command), consume(client, parsed_bytes));
     }
+    discard_input(client);
+}
+
+void ClientConnections::handle_command(std::uint64_t id, Client& client, Command&& command,
+                                       double received_at) {
+    last_command_at_ = monotonic_now();
+    PendingResponse& response = client.pending.emplace_back();
+    if (client.reserved > 0) client.connection->set_read_limit(kReadLimitBytes);
+    response.reserved = std::exchange(client.reserved, 0);
+    ++unanswered_commands_;
+    if (command.kind != Command::Kind::hello && command.kind != Command::Kind::malformed) {
+        response.request = on_command_({id, client.first_command + client.pending.size() - 1},
+                                       std::move(command), received_at);
+        return;
+    }
+    if (command.kind == Command::Kind::hello) {
+        finish_response(response, "MN\r\n");
+    } else {
+        const std::string error = command.error;
+        log_.line(Topic::client, error.empty() ? "unknown_command" : "malformed",
+                  error.empty() ? "unknown command" : "malformed: " + error);
+        finish_response(response, error.empty() ? "ERROR\r\n" : "CLIENT_ERROR " + error + "\r\n");
+        client.reading_stopped = command.framing_lost;
+    }
+    write_responses(client);
 }
 
 // A long value is only read once memory for all of it is reserved. Other clients with long values wait, so
-// that none has to be closed inside its value.
-bool ClientConnections::may_continue_reading(Client& client) {
+// that none has to be closed inside its value. Returns false if this one has to wait.
+bool ClientConnections::reserve_long_value(Client& client) {
     if (client.reserved > 0) return true;
     const std::size_t length = streamed_write_length(client.connection->input());
-    client.waiting_for_memory = length > 0 && reserved_ > 0 && reserved_ + length > reserved_limit_;
-    if (length == 0 || client.waiting_for_memory) return !client.waiting_for_memory;
+    if (length == 0) return true;
+    if (reserved_ > 0 && reserved_ + length > reserved_limit_) return false;
     client.reserved = length;
     reserved_ += length;
     client.connection->set_read_limit(length + 2 * kMaxLineBytes);
@@ -168,12 +187,53 @@
 
 // A command and its response may each hold a value of the greatest size, so the commands pipelined by all
 // clients together are bounded. Each client may always have one.
-bool ClientConnections::may_accept_command(const Client& client) const {
+bool ClientConnections::too_many_commands_of_all() const {
+    return static_cast<double>(unanswered_commands_) >=
+           kPipelinedCommandsFraction * static_cast<double>(connection_limit_);
+}
+
+ClientConnections::HoldReason ClientConnections::why_held_back(const Client& client) const {
     // No commands are read from a client that does not read its responses.
-    if (client.connection->unwritten_bytes() > 0 || client.pending.size() >= kMaxPipelinedCommands)
-        return false;
-    return client.pending.empty() || static_cast<double>(unanswered_commands_) <
-                                         kPipelinedCommandsFraction * static_cast<double>(connection_limit_);
+    if (client.connection->unwritten_bytes() > 0) return HoldReason::unread_responses;
+    if (client.pending.size() >= kMaxPipelinedCommands) return HoldReason::own_commands;
+    return !client.pending.empty() && too_many_commands_of_all() ? HoldReason::commands_of_all
+                                                                 : HoldReason::none;
+}
+
+// Only a client whose next command is there, or would be if it were read on, is held back. One that stopped
+// inside a command is silent, whatever it would have to wait for.
+void ClientConnections::hold_back(std::uint64_t id, Client& client, HoldReason reason) {
+    const std::string_view input = client.connection->input();
+    Command command;
+    const bool waits_for_us =
+        (client.reserved == 0 && streamed_write_length(input) > 0) || parse_command(input, command) > 0;
+    if (!waits_for_us) return;
+    client.held_back = reason;
+    if (reason != HoldReason::commands_of_all) return;
+    if (std::find(held_back_.begin(), held_back_.end(), id) == held_back_.end()) held_back_.push_back(id);
+}
+
+// Called wherever commands are answered. Reading on starts requests, so it waits for the next iteration.
+void ClientConnections::schedule_resume() {
+    if (held_back_.empty() || resume_timer_.second != 0) return;
+    resume_timer_ = timers_.schedule(monotonic_now(), [this] {
+        resume_timer_ = {};
+        resume_held_back();
+    });
+}
+
+void ClientConnections::resume_held_back() {
+    for (std::size_t left = held_back_.size(); left > 0 && !too_many_commands_of_all(); --left) {
+        const std::uint64_t id = held_back_.front();
+        held_back_.pop_front();
+        const auto entry = clients_.find(id);
+        if (entry == clients_.end() || entry->second.connection->is_closed()) continue;
+        Client& client = entry->second;
+        if (client.held_back != HoldReason::commands_of_all) continue;  // read on meanwhile
+        client.last_used = monotonic_now();
+        read_commands(id, client);
+        close_if_done(id, client);
+    }
 }
 
 void ClientConnections::finish_response(PendingResponse& response, std::string text) {
@@ -188,15 +248,36 @@
     finish_response(client.pending.emplace_back(), std::string(line) + "\r\n");
     ++unanswered_commands_;
     client.reading_stopped = true;
-    client.connection->consume(client.connection->input().size());
+    discard_input(client);
     write_responses(client);
     close_if_done(id, client);
 }
 
+// Frees the memory of buffered input: each whole command in it is answered with an error, since it is read
+// and must not be lost; a command that is still incomplete is rejected together with its connection.
+void ClientConnections::shed_input(std::uint64_t id, Client& client) {
+    Command command;
+    std::size_t parsed_bytes = 0;
+    while ((parsed_bytes = parse_command(client.connection->input(), command)) > 0 &&
+           command.kind != Command::Kind::malformed) {
+        (void)consume(client, parsed_bytes);
+        finish_response(client.pending.emplace_back(), std::string(kOutOfMemoryLine) + "\r\n");
+        ++unanswered_commands_;
+    }
+    if (client.connection->input().size() > kMaxLineBytes)
+        return reject_connection(id, client, kOutOfMemoryLine);
+    write_responses(client);
+    read_commands(id, client);
+    close_if_done(id, client);
+}
+
 void ClientConnections::check_clients() {
     const double now = monotonic_now();
     for (auto& [id, client] : clients_) {
-        if (!client.connection->is_closed() && client.waiting_for_memory) read_commands(id, client);
+        if (!client.connection->is_closed() && client.held_back == HoldReason::memory_of_all) {
+            client.last_used = now;
+            read_commands(id, client);
+        }
         if (!client.connection->is_closed()) check_timeouts(id, client, now);
         if (shutting_down_ && !client.connection->is_closed()) close_if_done(id, client);
     }
@@ -223,16 +304,16 @@
         client.unread_response_bytes = client.connection->unwritten_bytes();
         client.unread_since = now;
     }
+    // Input that we chose not to read, or did not get to, is no silence of the client.
+    const bool silent = now - client.last_used >= kSilenceTimeoutSeconds && !client.reading_stopped &&
+                        client.held_back == HoldReason::none && !client.connection->has_unreceived_input();
+    const bool inside_command = silent && !client.connection->input().empty();
     if (client.unread_response_bytes > 0) {
-        if (now - client.unread_since >= kUnreadResponseTimeoutSeconds) close(id, client);
-    } else if (client.reading_stopped ||
-               now - client.last_used <
-                   (client.reserved > 0 ? kLongValueTimeoutSeconds : kSilenceTimeoutSeconds) ||
-               !may_accept_command(client)) {
-        return;  // being closed, recently active, or not read from
-    } else if (!client.connection->input().empty()) {
+        const double limit = inside_command ? kSilenceTimeoutSeconds : kUnreadResponseTimeoutSeconds;
+        if (now - client.unread_since >= limit) close(id, client);
+    } else if (inside_command) {
         reject_connection(id, client, "CLIENT_ERROR incomplete command");
-    } else if (client.pending.empty() && !client.connection->has_unread_input() &&
+    } else if (silent && client.pending.empty() &&
                (client.first_command == 0 || now - client.last_used >= kIdleTimeoutSeconds)) {
         close(id, client);
     }
@@ -335,6 +416,7 @@
         --unanswered_commands_;
     }
     if (text.empty()) return;
+    schedule_resume();
     client.last_used = monotonic_now();
     client.connection->write(text);
     if (!client.pending.empty() && client.pending.front().stream != 0)
@@ -419,6 +501,7 @@
     }
     client.first_command += client.pending.size();
     client.pending.clear();
+    schedule_resume();
 }
 
 void ClientConnections::destroy_closed() {
--- a/src/downstream/client_connections.h
+++ b/src/downstream/client_connections.h
@@ -21,6 +21,7 @@
 #include <string_view>
 #include <vector>
 
+#include "downstream/arrival_times.h"
 #include "io/listener.h"
 #include "io/log.h"
 #include "io/tcp_connection.h"
@@ -40,8 +41,9 @@
         bool operator==(const RequestHandle&) const = default;
     };
     static constexpr int kNoRequest = -1;
-    /// Returns the id of the request started for the command, or kNoRequest if it is answered at once.
-    using OnCommand = std::function<int(RequestHandle, Command&&)>;
+    /// Returns the id of the request started for the command, or kNoRequest if it is answered at once. The
+    /// last byte of the command arrived at `received_at`, even if it is only read now.
+    using OnCommand = std::function<int(RequestHandle, Command&&, double received_at)>;
     /// Called when a client has closed, once for each of its requests without a response.
     using OnClientClosed = std::function<void(RequestHandle, int request)>;
     /// For streamed responses: there is capacity for more, or the rest of it is not wanted.
@@ -95,8 +97,17 @@
         bool started = false;      // a part of the streamed response is written
         std::size_t reserved = 0;  // bytes reserved for the command's value
     };
+    /// Why input that holds a whole command is not read; each reason names who reads on.
+    enum class HoldReason {
+        none,
+        unread_responses,  // of this client: on Event::drained
+        own_commands,      // of this client are too many, or one is streamed: when one is answered
+        commands_of_all,   // clients together are too many: resume_held_back()
+        memory_of_all,     // for long values is reserved: check_clients()
+    };
     struct Client {
         std::unique_ptr<TcpConnection> connection;
+        ArrivalTimes arrival_times;
         std::deque<PendingResponse> pending;
         std::uint64_t first_command = 0;  // the number of pending.front()
         double last_used = 0;
@@ -106,17 +117,25 @@
         bool reading_stopped = false;  // further input is discarded
         bool closing = false;          // all commands are answered and the write side is shut down
         TimerQueue::Handle linger_timer;
-        std::size_t reserved = 0;         // bytes reserved for the long value being read
-        bool waiting_for_memory = false;  // for such a reservation
+        std::size_t reserved = 0;  // bytes reserved for the long value being read
+        HoldReason held_back = HoldReason::none;
     };
 
-    bool may_accept_command(const Client& client) const;
+    HoldReason why_held_back(const Client& client) const;
+    bool too_many_commands_of_all() const;
+    void hold_back(std::uint64_t id, Client& client, HoldReason reason);
+    void schedule_resume();
+    void resume_held_back();
     static bool between_commands(const Client& client);
     void accept_connections();
     bool evict_idle();
     void on_event(std::uint64_t id, Client& client, TcpConnection::Event event);
     void read_commands(std::uint64_t id, Client& client);
-    bool may_continue_reading(Client& client);
+    void handle_command(std::uint64_t id, Client& client, Command&& command, double received_at);
+    double consume(Client& client, std::size_t bytes);
+    void discard_input(Client& client);
+    bool reserve_long_value(Client& client);
+    void shed_input(std::uint64_t id, Client& client);
     Client* find(const RequestHandle& handle);
     void finish_response(PendingResponse& response, std::string text);
     void write_responses(Client& client);
@@ -146,6 +165,8 @@
     std::vector<std::uint64_t> closed_;
     std::size_t open_count_ = 0;
     std::size_t unanswered_commands_ = 0;  // commands whose response is not written
+    std::deque<std::uint64_t> held_back_;  // connections held back for commands_of_all, the longest first
+    TimerQueue::Handle resume_timer_;
     std::uint64_t last_id_ = 0;
     double last_command_at_ = 0;
     bool shutting_down_ = false;
--- a/src/io/tcp_connection.cpp
+++ b/src/io/tcp_connection.cpp
@@ -8,9 +8,11 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 #include "io/socket_address.h"
+#include "io/timer_queue.h"
 
 namespace brookrelay {
 namespace {
@@ -71,6 +73,7 @@
 void TcpConnection::watch_input() {
     if (state_ != State::connected) return;
     if (is_read_buffer_full()) {
+        if (input_source_ != nullptr && reading_paused_at_ == 0) reading_paused_at_ = monotonic_now();
         input_source_.reset();
     } else {
         watch(input_source_, G_IO_IN, &on_socket<&TcpConnection::receive>);
@@ -150,15 +153,18 @@
     if (count < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) return;
     ended_cleanly_ = count == 0;
     if (count <= 0) return on_end();
+    received_at_ = reading_paused_at_ > 0 ? reading_paused_at_ : monotonic_now();
+    if (static_cast<std::size_t>(count) < buffer.size()) reading_paused_at_ = 0;
     input_.append(buffer.data(), static_cast<std::size_t>(count));
     update_budget();
     on_event_(Event::readable);
     watch_input();
 }
 
-bool TcpConnection::has_unread_input() const {
-    return !input().empty() ||
-           (state_ == State::connected && g_socket_get_available_bytes(socket_.get()) > 0);
+bool TcpConnection::has_unread_input() const { return !input().empty() || has_unreceived_input(); }
+
+bool TcpConnection::has_unreceived_input() const {
+    return state_ == State::connected && g_socket_get_available_bytes(socket_.get()) > 0;
 }
 
 bool TcpConnection::is_idle() const {
@@ -170,7 +176,11 @@
 bool TcpConnection::peer_has_closed() const {
     if (state_ != State::connected) return state_ != State::connecting;
     pollfd poll_entry{g_socket_get_fd(socket_.get()), POLLRDHUP, 0};
-    return ::poll(&poll_entry, 1, 0) > 0 && (poll_entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    int ready = 0;
+    do {
+        ready = ::poll(&poll_entry, 1, 0);
+    } while (ready < 0 && errno == EINTR);
+    return ready > 0 && (poll_entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 void TcpConnection::consume(std::size_t bytes) {
--- a/src/io/tcp_connection.h
+++ b/src/io/tcp_connection.h
@@ -64,6 +64,11 @@
     void shutdown_write();
     /// Whether input is buffered here or in the kernel.
     bool has_unread_input() const;
+    /// Whether input waits in the kernel, because it is not received yet or reading is paused.
+    bool has_unreceived_input() const;
+    /// When the input received last had arrived, in seconds on the monotonic clock; the earliest possible
+    /// time where it waited in the kernel while reading was paused at the read limit.
+    double received_at() const { return received_at_; }
     /// Whether it is connected and neither input nor the peer's close has arrived.
     bool is_idle() const;
     /// Whether the peer closed after all its data was received; false after a reset.
@@ -108,6 +113,8 @@
     std::string output_;
     bool shutting_down_write_ = false;
     bool ended_cleanly_ = false;
+    double received_at_ = 0;
+    double reading_paused_at_ = 0;  // 0: all that the kernel held since the last pause is received
     EventHandler on_event_;
     int priority_ = G_PRIORITY_DEFAULT;
 };
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -104,8 +104,8 @@
            }}),
       clients_(
           timers_, log, connection_budget(config.descriptors, kClientsShare), buffer_budget(config.memory_mb),
-          [this](const ClientConnections::RequestHandle& client, Command&& command) {
-              return on_command(client, std::move(command));
+          [this](const ClientConnections::RequestHandle& client, Command&& command, double received_at) {
+              return on_command(client, std::move(command), received_at);
           },
           [this](const ClientConnections::RequestHandle& client, int request) {
               on_connection_closed(client, request);
@@ -293,7 +293,7 @@
     return now < catch_up_until_ ? paused_since_ : now;
 }
 
-int Node::on_command(const ClientConnections::RequestHandle& client, Command&& command) {
+int Node::on_command(const ClientConnections::RequestHandle& client, Command&& command, double received_at) {
     const int operation = index_of(config_.names.operations, command.attributes.operation);
     const bool is_full = config_.max_open_requests > 0 && requests_.open_count() >= config_.max_open_requests;
     // Servers tell requests apart by their ids alone: with a duplicate id the response made for one client
@@ -307,7 +307,7 @@
         event_queue_.emplace_back([this, client, text](double) { clients_.respond(client, text); });
         return ClientConnections::kNoRequest;
     }
-    const double received_at = arrival_time();
+    received_at = std::min(received_at, arrival_time());
     const double deadline = received_at + command.attributes.time_remaining;
     const int request = requests_.open(client, std::move(command), received_at, deadline);
     event_queue_.emplace_back(
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -73,7 +73,7 @@
     using Event = std::function<void(double now)>;
 
     double arrival_time();
-    int on_command(const ClientConnections::RequestHandle& client, Command&& command);
+    int on_command(const ClientConnections::RequestHandle& client, Command&& command, double received_at);
     void on_connection_closed(const ClientConnections::RequestHandle& client, int request);
     void start_request(double now, int request, int operation);
     void on_attempt_finished(double now, UpstreamPool::AttemptResult& result);
