--- a/src/downstream/arrival_times.cpp
+++ b/src/downstream/arrival_times.cpp
@@ -5,8 +5,8 @@
 namespace brookrelay {
 namespace {
 
-// Arrivals that are closer together count as one, at the time of the first: input that waits may have come byte
-// by byte, and its list must stay short.
+// Arrivals that are closer together count as one, at the time of the first: input that waits may have come
+// byte by byte, and its list must stay short.
 constexpr double kResolutionSeconds = 0.01;
 
 }  // namespace
--- a/tests/client_connections_test.cpp
+++ b/tests/client_connections_test.cpp
@@ -84,4 +84,26 @@
     EXPECT_LT(seconds() - stopped, kBadClientSeconds);
 }
 
+// ---- responses that break off ----------------------------------------------------------------------------
+
+// A long value that breaks off ends its client's connection, and with it whatever was read behind it. So what
+// was read behind it has to have its answer too.
+TEST(BrokenOffValue, TakesNoCommandBehindItAlong) {
+    constexpr std::size_t kLength = 300 * 1000;
+    Fleet fleet(1);
+    fleet.caches.front().plays([](const std::string& m) {
+        if (id_in(m) != "long") return hit(m);
+        Act act{"VA " + std::to_string(kLength) + " Olong h1\r\n" + std::string(kLength / 2, 'x')};
+        act.close = true;
+        act.wait = [] { std::this_thread::sleep_for(100 * kMillisecond); };
+        return act;
+    });
+    fleet.origin.plays([](const std::string&) { return Act{http("", "500 E")}; });
+    Line line(own_loopback(), fleet.port());
+    line.send(read_of("7f3a", "long", 3000) + read_of("7f3a", "behind", 3000));
+    const std::string first = line.until("\r\n");
+    EXPECT_TRUE(first.starts_with("SERVER_ERROR ")) << first.substr(0, 40);
+    EXPECT_EQ(line.until("hello\r\n"), "VA 5 Obehind\r\nhello\r\n");
+}
+
 }  // namespace
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -227,6 +227,22 @@
     std::string told_;
 };
 
+// A server whose next connection waits until it resumes; the kernel comes again for it within a second.
+struct Late {
+    explicit Late(ScriptedPeer& at) : peer(at) {
+        peer.stall();
+        filler = std::make_unique<Line>(own_loopback(), peer.port);
+        before = peer.connections;
+    }
+    void come_up() {
+        peer.resume();
+        wait_for([this] { return peer.connections >= before + 2; });
+    }
+    ScriptedPeer& peer;
+    std::unique_ptr<Line> filler;
+    int before = 0;
+};
+
 // Discovery as a test tells it: a watch is answered by the next change, or soon by none.
 class Told {
   public:
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -125,22 +125,6 @@
 
 // ---- clients that have gone, and connections that come up late ------------------------------------------
 
-// A server whose next connection waits until it resumes; the kernel comes again for it within a second.
-struct Late {
-    explicit Late(ScriptedPeer& at) : peer(at) {
-        peer.stall();
-        filler = std::make_unique<Line>(own_loopback(), peer.port);
-        before = peer.connections;
-    }
-    void come_up() {
-        peer.resume();
-        wait_for([this] { return peer.connections >= before + 2; });
-    }
-    ScriptedPeer& peer;
-    std::unique_ptr<Line> filler;
-    int before = 0;
-};
-
 struct Gone {
     const char* name;
     bool write;  // to the origin; else a read at a cache
