One guard decides when an attempt is written; servers are told what is left at that moment

Cause: UpstreamPool formatted the request when its attempt was taken up and wrote it when the connection was up, or after the reuse pause, or on another connection; and nothing stopped a request half written when its client had left. What is half sent when its request ends is cancelled and its connection reset. A request keeps the operation's settings it came with over a reload. Violations are counted and logged with ids. A streamed answer cancels its send timer.

--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -40,6 +40,11 @@
 constexpr const char* kNoFleet = "this node does not talk with others: [fleet] in the operators' file";
 constexpr const char* kFailed = "SERVER_ERROR failed\r\n";
 
+bool proves_not_run(AttemptOutcome outcome) {
+    return outcome == AttemptOutcome::busy || outcome == AttemptOutcome::refused ||
+           outcome == AttemptOutcome::not_sent || outcome == AttemptOutcome::miss;
+}
+
 std::uint64_t attempt_key(int request, int number) {
     return static_cast<std::uint64_t>(request) << 16 | static_cast<std::uint64_t>(number);
 }
@@ -74,6 +79,10 @@
       operator_config_(operator_config),
       log_(log),
       wall_clock_offset_(static_cast<double>(g_get_real_time()) / 1e6 - monotonic_now()),
+      violations_([this](Violation kind, std::string_view details) {
+          log_.line(Topic::node, "violation",
+                    "rule broken: " + std::string(name_of(kind)) + ", " + std::string(details));
+      }),
       balancer_(make_balancer(config.deployment, config.seed, *this)),
       pool_(
           timers_, log, config.deployment, connection_budget(config.descriptors, 1 - kClientsShare),
@@ -83,12 +92,15 @@
                   [this, e = std::move(end)](double now) mutable { on_attempt_finished(now, e); });
           },
           // Decided after all events of this iteration: whether the attempt is still to be sent.
-          [this](int request, int attempt) {
-              event_queue_.emplace_back([this, request, attempt](double) {
+          [this](int request, int attempt, int server) {
+              event_queue_.emplace_back([this, request, attempt, server](double) {
                   action_queue_.emplace_back(
-                      [this, request, attempt] { send_on_connection(request, attempt); });
+                      [this, request, attempt, server] { send_on_connection(request, attempt, server); });
               });
           },
+          [this](int request, int attempt, int server, double time_left) {
+              on_attempt_write(request, attempt, server, time_left);
+          },
           {[this](std::uint64_t stream) {
                return streams_.contains(stream) ? clients_.stream_capacity(streams_[stream]) : 0;
            },
@@ -309,7 +321,8 @@
     }
     received_at = std::min(received_at, arrival_time());
     const double deadline = received_at + command.attributes.time_remaining;
-    const int request = requests_.open(client, std::move(command), received_at, deadline);
+    const int request = requests_.open(client, std::move(command), received_at, deadline,
+                                       config_.deployment.operations[static_cast<std::size_t>(operation)]);
     event_queue_.emplace_back(
         [this, request, operation](double now) { start_request(now, request, operation); });
     return request;
@@ -360,6 +373,8 @@
         return balancer_->on_health_check(now, result.server, result.outcome, result.latency);
     ActiveRequest& active = requests_.at(result.request);
     --active.in_flight;
+    if (result.written && proves_not_run(result.outcome) && --active.possible_runs == 0)
+        active.may_have_run_since = 0;
     if (result.stream != 0 && !active.answered) {
         // The client gets its first bytes now, and no other attempt may answer it any more.
         action_queue_.emplace_back(
@@ -378,14 +393,10 @@
                                     : format_receipt(command.id, result.body));
         finish(result.request);
     }
-    if (gossip_ != nullptr && !servers_.is_origin(servers_.at(result.server))) {
-        const int operation = index_of(config_.names.operations, active.command.attributes.operation);
-        if (operation >= 0)
-            gossip_->on_attempt_finished(
-                now, attempt_key(result.request, result.attempt), servers_.at(result.server).name,
-                servers_.at(result.server).zone, result.outcome, result.latency,
-                config_.deployment.operations[static_cast<std::size_t>(operation)].latency_objective);
-    }
+    if (gossip_ != nullptr && !servers_.is_origin(servers_.at(result.server)))
+        gossip_->on_attempt_finished(now, attempt_key(result.request, result.attempt),
+                                     servers_.at(result.server).name, servers_.at(result.server).zone,
+                                     result.outcome, result.latency, active.operation.latency_objective);
     balancer_->on_attempt_finished(now, result.request, result.attempt, result.outcome, result.latency,
                                    active.answered);
     finished_requests_.push_back(result.request);
@@ -508,46 +519,73 @@
         [this, request, attempt, server, limit] { send_attempt(request, attempt, server, limit); });
 }
 
+// Asked whenever an attempt is about to be written, since everything may have changed since it was planned.
+SendRefusal Node::check_attempt(int request, int server) {
+    const ActiveRequest& active = requests_.at(request);
+    SendFacts facts;
+    facts.answered = active.answered;
+    facts.client_closed = clients_.has_closed(active.client);
+    facts.server_ready = servers_.accepts_attempts(server);
+    facts.now = monotonic_now();
+    facts.deadline = active.deadline;
+    facts.idempotency = active.operation.idempotency;
+    facts.deduplication_window = active.operation.deduplication_window;
+    facts.may_have_run_since = active.may_have_run_since;
+    return check_send(facts);
+}
+
+void Node::refuse_attempt(int request, int attempt, int server, SendRefusal refusal) {
+    if (refusal != SendRefusal::answered && refusal != SendRefusal::client_closed)
+        log_.line(Topic::node, "attempt_refused",
+                  "attempt " + std::to_string(attempt) + " of request " + requests_.at(request).command.id +
+                      " at " + servers_.at(server).name + " not sent: " + std::string(name_of(refusal)));
+    event_queue_.emplace_back(
+        [this,
+         e = UpstreamPool::AttemptResult{
+             request, attempt, server, AttemptOutcome::not_sent, 0, {}, 0, 0, false}](double now) mutable {
+            on_attempt_finished(now, e);
+        });
+}
+
 void Node::send_attempt(int request, int attempt, int server, double limit) {
     const ActiveRequest& active = requests_.at(request);
     const double time_left = std::min(limit, active.deadline - monotonic_now());
-    // The balancer decided before this iteration's update of the server, or before the client closed.
-    const bool declined = active.answered || time_left <= 0 || !servers_.accepts_attempts(server) ||
-                          clients_.has_closed(active.client);
+    SendRefusal refusal = check_attempt(request, server);
+    if (refusal == SendRefusal::none && time_left <= 0) refusal = SendRefusal::deadline_passed;
+    if (refusal != SendRefusal::none) return refuse_attempt(request, attempt, server, refusal);
     // Past its share of the fleet's quota a node sends nothing to the origin, and the client is to retry.
-    if (declined || (gossip_ != nullptr && servers_.is_origin(servers_.at(server)) &&
-                     !gossip_->admit_origin_attempt(monotonic_now()))) {
-        event_queue_.emplace_back(
-            [this, e = UpstreamPool::AttemptResult{
-                       request, attempt, server, AttemptOutcome::not_sent, 0, {}, 0, 0}](double now) mutable {
-                on_attempt_finished(now, e);
-            });
-        return;
-    }
-    if (gossip_ != nullptr && !servers_.is_origin(servers_.at(server))) {
-        const int operation = index_of(config_.names.operations, active.command.attributes.operation);
-        if (operation >= 0)
-            gossip_->on_attempt_started(
-                monotonic_now(), attempt_key(request, attempt), servers_.at(server).name,
-                servers_.at(server).zone,
-                config_.deployment.operations[static_cast<std::size_t>(operation)].latency_objective);
-    }
+    if (gossip_ != nullptr && servers_.is_origin(servers_.at(server)) &&
+        !gossip_->admit_origin_attempt(monotonic_now()))
+        return refuse_attempt(request, attempt, server, SendRefusal::over_quota);
+    if (gossip_ != nullptr && !servers_.is_origin(servers_.at(server)))
+        gossip_->on_attempt_started(monotonic_now(), attempt_key(request, attempt), servers_.at(server).name,
+                                    servers_.at(server).zone, active.operation.latency_objective);
     // The balancer assumes that a retry begins at most a connect timeout later: after that it could run
     // beside the end of the time for which the first attempt is remembered.
-    const int operation =
-        attempt > 0 ? index_of(config_.names.operations, active.command.attributes.operation) : -1;
-    const bool is_retry =
-        operation >= 0 && config_.deployment.operations[static_cast<std::size_t>(operation)].idempotency ==
-                              Idempotency::idempotency_key;
+    const bool is_keyed_retry = attempt > 0 && active.operation.idempotency == Idempotency::idempotency_key;
     pool_.start_attempt(request, attempt, server, active.command, time_left,
-                        is_retry ? pool_.connect_timeout() : 0);
+                        is_keyed_retry ? pool_.connect_timeout() : 0);
 }
 
-// The attempt's connection is established, perhaps late.
-void Node::send_on_connection(int request, int attempt) {
-    const ActiveRequest& active = requests_.at(request);
-    if (active.answered || clients_.has_closed(active.client)) return pool_.abandon(request, attempt);
-    pool_.send(request, attempt);
+// The attempt's connection may carry it now, perhaps late.
+void Node::send_on_connection(int request, int attempt, int server) {
+    if (check_attempt(request, server) != SendRefusal::none) return pool_.abandon(request, attempt);
+    pool_.send(request, attempt, requests_.at(request).command);
+}
+
+// The last moment: what the check above allows has to hold for what is written.
+void Node::on_attempt_write(int request, int attempt, int server, double time_left) {
+    ActiveRequest& active = requests_.at(request);
+    const double now = monotonic_now();
+    const auto ids = [&] {
+        return "request " + active.command.id + ", attempt " + std::to_string(attempt) + " at " +
+               servers_.at(server).name;
+    };
+    if (active.answered || now >= active.deadline || !servers_.accepts_attempts(server))
+        violations_.report(Violation::sent_unasked, ids());
+    if (time_left > active.deadline - now + kToldDeadlineSlack)
+        violations_.report(Violation::deadline_too_long, ids());
+    if (active.possible_runs++ == 0) active.may_have_run_since = now;
 }
 
 void Node::cancel_attempt(int request, int attempt) {
@@ -601,6 +639,13 @@
     requests_.close(request);
     timers_.cancel(active.expiry_timer);
     finished_requests_.push_back(request);
+    if (active.in_flight > 0) action_queue_.emplace_back([this, request] { cancel_half_sent(request); });
+}
+
+// Nobody waits for the request any more, so what has not begun of it must not begin.
+void Node::cancel_half_sent(int request) {
+    const int attempts = requests_.at(request).attempts;
+    for (int attempt = 0; attempt < attempts; ++attempt) pool_.cancel_half_sent(request, attempt);
 }
 
 // ---- the admin interface -----------------------------------------------------------------------------
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -24,6 +24,8 @@
 #include "discovery/endpoint_watch.h"
 #include "downstream/client_connections.h"
 #include "gossip_agent/gossip_agent.h"
+#include "guard/send_guard.h"
+#include "guard/violations.h"
 #include "io/log.h"
 #include "io/timer_queue.h"
 #include "proxy/graceful_shutdown.h"
@@ -83,8 +85,12 @@
     void apply_operator_config(const OperatorConfig& operator_config);
     void apply_connection_limit();
     void evict_removed_servers();
+    SendRefusal check_attempt(int request, int server);
+    void refuse_attempt(int request, int attempt, int server, SendRefusal refusal);
     void send_attempt(int request, int attempt, int server, double limit);
-    void send_on_connection(int request, int attempt);
+    void send_on_connection(int request, int attempt, int server);
+    void on_attempt_write(int request, int attempt, int server, double time_left);
+    void cancel_half_sent(int request);
     void respond(int request, std::string text);
     void finish(int request);
     void check_shutdown();
@@ -105,6 +111,7 @@
     Log& log_;
     TimerQueue timers_;
     const double wall_clock_offset_;
+    ViolationCounter violations_;
     std::unique_ptr<Balancer> balancer_;
     UpstreamPool pool_;
     ClientConnections clients_;
--- a/src/proxy/request_table.cpp
+++ b/src/proxy/request_table.cpp
@@ -6,7 +6,7 @@
 namespace brookrelay {
 
 int RequestTable::open(const ClientConnections::RequestHandle& client, Command&& command, double received_at,
-                       double deadline) {
+                       double deadline, const Operation& operation) {
     if (free_slots_.empty()) {
         free_slots_.push_back(static_cast<int>(slots_.size()));
         slots_.emplace_back();
@@ -15,7 +15,7 @@
     free_slots_.pop_back();
     ++open_count_;
     open_ids_.insert(command.id);
-    at(number) = {client, std::move(command), received_at, deadline, 0, 0, false, {}};
+    at(number) = {client, std::move(command), received_at, deadline, operation, 0, 0, 0, 0, false, {}};
     return number;
 }
 
--- a/src/proxy/request_table.h
+++ b/src/proxy/request_table.h
@@ -7,6 +7,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "balancer/balancer.h"
 #include "downstream/client_connections.h"
 #include "io/timer_queue.h"
 
@@ -17,9 +18,12 @@
     ClientConnections::RequestHandle client;
     Command command;
     double received_at = 0;
-    double deadline = 0;  // when its client stops waiting
-    int attempts = 0;     // started so far
-    int in_flight = 0;    // attempts whose result is still to come
+    double deadline = 0;            // when its client stops waiting
+    Operation operation;            // as configured when it was received; a reload changes nothing for it
+    int possible_runs = 0;          // attempts that were written and are not proven never to have run
+    double may_have_run_since = 0;  // when the first of these was written; 0: there is none
+    int attempts = 0;               // started so far
+    int in_flight = 0;              // attempts whose result is still to come
     bool answered = true;
     TimerQueue::Handle expiry_timer;
 };
@@ -28,7 +32,7 @@
   public:
     /// Opens a request in a free slot and returns its number.
     int open(const ClientConnections::RequestHandle& client, Command&& command, double received_at,
-             double deadline);
+             double deadline, const Operation& operation);
     /// Marks an open request as answered: its id is free again. The slot stays until release().
     void close(int number);
     /// Frees the slot of a request that is answered and has no attempt in flight; else does nothing.
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -30,7 +30,7 @@
 
 UpstreamPool::UpstreamPool(TimerQueue& timers, Log& log, const Deployment& deployment,
                            std::size_t max_connections, std::size_t max_bytes, OnFinished on_finished,
-                           OnConnected on_connected, BodySink body_sink)
+                           OnConnected on_connected, OnWrite on_write, BodySink body_sink)
     : timers_(timers),
       log_(log),
       max_connections_(max_connections),
@@ -39,6 +39,7 @@
       budget_{max_bytes},
       on_finished_(std::move(on_finished)),
       on_connected_(std::move(on_connected)),
+      on_write_(std::move(on_write)),
       body_sink_(std::move(body_sink)) {
     apply_configuration(deployment);
     close_expired();
@@ -92,40 +93,39 @@
     if (!has_capacity(server_id)) {
         log_.line(topic(server_id), "no_place_left",
                   server.name + ": this node's part of the fleet's connections is in use, forward not sent");
-        on_finished_({request, attempt, server_id, AttemptOutcome::not_sent, 0, {}, 0, 0});
+        on_finished_({request, attempt, server_id, AttemptOutcome::not_sent, 0, {}, 0, 0, false});
         return;
     }
     Connection* connection = connection_to(server_id);
     if (connection == nullptr) {
         log_.line(topic(server_id), "no_connection_left",
                   server.name + ": no connection is left in the budget, forward not sent");
-        on_finished_({request, attempt, server_id, AttemptOutcome::refused, 0, {}, 0, 0});
+        on_finished_({request, attempt, server_id, AttemptOutcome::refused, 0, {}, 0, 0, false});
         return;
     }
     connection->is_read = command.kind == Command::Kind::read;
     connection->request_id = command.id;
-    begin_attempt(*connection, request, attempt, timeout, send_timeout,
-                  server.origin ? format_origin_request(command, timeout, server.address)
-                                : format_command(command, timeout));
+    if (begin_attempt(*connection, request, attempt, timeout, send_timeout))
+        write_command(*connection, command);
 }
 
 void UpstreamPool::check_health(int server_id, double timeout) {
     Connection* connection = connection_to(server_id);
     const int check_number = next_health_check_++;
     if (connection == nullptr) {
-        on_finished_({kHealthCheck, check_number, server_id, AttemptOutcome::refused, 0, {}, 0, 0});
+        on_finished_({kHealthCheck, check_number, server_id, AttemptOutcome::refused, 0, {}, 0, 0, false});
         return;
     }
     connection->is_read = false;
     connection->request_id.clear();
-    const Server& server = server_at(server_id);
-    begin_attempt(*connection, kHealthCheck, check_number, timeout, 0,
-                  server.origin ? format_http_request("GET", "/alive", server.address, {}, {}) : "mn\r\n");
+    if (begin_attempt(*connection, kHealthCheck, check_number, timeout, 0)) write_health_check(*connection);
 }
 
-void UpstreamPool::begin_attempt(Connection& connection, int request, int attempt, double timeout,
-                                 double send_timeout, std::string bytes) {
+// Returns whether the connection may carry the request now. If not, on_ready() follows.
+bool UpstreamPool::begin_attempt(Connection& connection, int request, int attempt, double timeout,
+                                 double send_timeout) {
     connection.busy = true;
+    connection.written = false;
     connection.request = request;
     connection.attempt = attempt;
     connection.sent_at = monotonic_now();
@@ -142,19 +142,23 @@
                 on_broken(connection, AttemptOutcome::timed_out);
         });
     }
-    connection.unsent = std::move(bytes);
-    if (!connection.socket->is_connected()) return;
+    if (!connection.socket->is_connected()) return false;
     // A duplicate of the last response may arrive some milliseconds late. Waiting is better than opening a
     // new connection, of which a server holds only a few.
     const double reusable_at = server_at(connection.server).origin && connection.last_used > 0
                                    ? connection.last_used + kHttpReuseDelaySeconds
                                    : 0;
-    if (reusable_at <= connection.sent_at) return write_request(connection);
+    if (reusable_at <= connection.sent_at) return true;
     connection.idle_timer = timers_.schedule(reusable_at, [this, &connection] {
         connection.idle_timer = {};
-        connection.request == kHealthCheck ? write_request(connection)
-                                           : on_connected_(connection.request, connection.attempt);
+        on_ready(connection);
     });
+    return false;
+}
+
+void UpstreamPool::on_ready(Connection& connection) {
+    if (connection.request == kHealthCheck) return write_health_check(connection);
+    on_connected_(connection.request, connection.attempt, connection.server);
 }
 
 // The connection closed or received a duplicate response during the reuse delay. Nothing of the attempt has
@@ -170,34 +174,53 @@
                  send_timeout = connection.send_timer.second != 0
                                     ? std::max(connection.send_timer.first - now, kMinSendTimeoutSeconds)
                                     : 0;
-    std::string request_id = std::move(connection.request_id), bytes = std::exchange(connection.unsent, {});
+    std::string request_id = std::move(connection.request_id);
     in_flight_.erase(attempt_key(request, attempt));
     connection.busy = false;
     close(connection);
     Connection* next = connection_to(server_id);
     if (next == nullptr)
-        return on_finished_(
-            {request, attempt, server_id, AttemptOutcome::refused, now - connection.sent_at, {}, 0, 0});
+        return on_finished_({request,
+                             attempt,
+                             server_id,
+                             AttemptOutcome::refused,
+                             now - connection.sent_at,
+                             {},
+                             0,
+                             0,
+                             false});
     next->is_read = is_read;
     next->request_id = std::move(request_id);
-    begin_attempt(*next, request, attempt, timeout, send_timeout, std::move(bytes));
+    if (begin_attempt(*next, request, attempt, timeout, send_timeout)) on_ready(*next);
 }
 
 // Only called on an established connection. A connecting TcpConnection would send buffered bytes as soon as
 // it is established, even if by then the deadline has passed, the server is draining or the client has
-// closed.
-void UpstreamPool::write_request(Connection& connection) {
-    connection.socket->write(std::exchange(connection.unsent, {}));
+// closed. The server is told what is left now: waiting for the connection has used up a part of the time.
+void UpstreamPool::write_command(Connection& connection, const Command& command) {
+    const Server& server = server_at(connection.server);
+    const double time_left = connection.deadline - monotonic_now();
+    on_write_(connection.request, connection.attempt, connection.server, time_left);
+    connection.written = true;
+    connection.socket->write(server.origin ? format_origin_request(command, time_left, server.address)
+                                           : format_command(command, time_left));
 }
 
-void UpstreamPool::send(int request, int attempt) {
+void UpstreamPool::write_health_check(Connection& connection) {
+    const Server& server = server_at(connection.server);
+    connection.written = true;
+    connection.socket->write(server.origin ? format_http_request("GET", "/alive", server.address, {}, {})
+                                           : "mn\r\n");
+}
+
+void UpstreamPool::send(int request, int attempt, const Command& command) {
     const auto entry = in_flight_.find(attempt_key(request, attempt));
     if (entry == in_flight_.end()) return;  // its result is already reported
     Connection& connection = *entry->second;
     const bool too_late = connection.send_timer.second != 0 && monotonic_now() >= connection.send_timer.first;
     if (too_late || monotonic_now() >= connection.deadline)
         return on_broken(connection, AttemptOutcome::timed_out);
-    if (connection.socket->is_connected()) write_request(connection);
+    if (connection.socket->is_connected()) write_command(connection, command);
 }
 
 void UpstreamPool::abandon(int request, int attempt) {
@@ -274,6 +297,17 @@
     close(connection);
 }
 
+// A request begins with its last byte. What is written and not acknowledged may still be on its way.
+void UpstreamPool::cancel_half_sent(int request, int attempt) {
+    const auto entry = in_flight_.find(attempt_key(request, attempt));
+    if (entry == in_flight_.end()) return;
+    Connection& connection = *entry->second;
+    const bool begun = is_fully_sent(connection);
+    if (!connection.written || (begun && !connection.socket->has_unacknowledged_output())) return;
+    finish_attempt(connection, begun ? AttemptOutcome::cancelled : AttemptOutcome::not_sent);
+    close(connection);
+}
+
 void UpstreamPool::close_idle(int server_id) {
     auto& idle = server_at(server_id).idle;
     while (!idle.empty()) close(*idle.back());
@@ -289,8 +323,7 @@
                 return on_broken(connection, AttemptOutcome::timed_out);
             timers_.cancel(connection.connect_timer);
             if (!connection.busy) break;
-            connection.request == kHealthCheck ? write_request(connection)
-                                               : on_connected_(connection.request, connection.attempt);
+            on_ready(connection);
             break;
         case TcpConnection::Event::readable:
             read_response(connection);
@@ -358,6 +391,7 @@
     if (value.header_bytes == 0 || (!origin && value.id != connection.request_id)) return false;
     connection.socket->consume(value.header_bytes);
     timers_.cancel(connection.attempt_timer);
+    timers_.cancel(connection.send_timer);
     in_flight_.erase(attempt_key(connection.request, connection.attempt));
     connection.stream = ++last_stream_;
     connection.remaining = std::move(value);
@@ -371,7 +405,8 @@
                   connection.last_used - connection.sent_at,
                   {},
                   connection.stream,
-                  connection.remaining.length});
+                  connection.remaining.length,
+                  true});
     return true;
 }
 
@@ -509,7 +544,7 @@
 void UpstreamPool::close_unstarted(int server_id) {
     close_idle(server_id);
     for (Connection& connection : connections_) {
-        if (connection.server == server_id && connection.busy && !connection.unsent.empty())
+        if (connection.server == server_id && connection.busy && !connection.written)
             on_broken(connection, AttemptOutcome::refused);
     }
 }
@@ -522,7 +557,6 @@
 
 void UpstreamPool::finish_attempt(Connection& connection, AttemptOutcome outcome, std::string body) {
     connection.busy = false;
-    connection.unsent.clear();
     timers_.cancel(connection.attempt_timer);
     timers_.cancel(connection.send_timer);
     timers_.cancel(connection.idle_timer);
@@ -537,8 +571,8 @@
         std::snprintf(text, sizeof text, ": forward %s after %.3f s", failure, latency);
         log_.line(topic(connection.server), "forward_failed", server_at(connection.server).name + text);
     }
-    on_finished_(
-        {connection.request, connection.attempt, connection.server, outcome, latency, std::move(body), 0, 0});
+    on_finished_({connection.request, connection.attempt, connection.server, outcome, latency,
+                  std::move(body), 0, 0, connection.written});
 }
 
 void UpstreamPool::close(Connection& connection) {
--- a/src/upstream/upstream_pool.h
+++ b/src/upstream/upstream_pool.h
@@ -43,6 +43,7 @@
         // bytes in all, and `body` is empty.
         std::uint64_t stream = 0;
         std::size_t stream_length = 0;
+        bool written = false;  // at least a part of the request was
     };
     /// Receives the bodies of streamed responses. `capacity` says how many bytes may be written now; after it
     /// has returned 0, the sink calls resume() once there is room. `end` is called once per stream, with
@@ -53,8 +54,12 @@
         std::function<void(std::uint64_t stream, bool complete)> end;
     };
     using OnFinished = std::function<void(AttemptResult&&)>;
-    /// The attempt's connection is established and nothing is sent yet: the owner calls send() or abandon().
-    using OnConnected = std::function<void(int request, int attempt)>;
+    /// The attempt's connection may carry it now and nothing is sent yet: the owner calls send() or
+    /// abandon().
+    using OnConnected = std::function<void(int request, int attempt, int server)>;
+    /// Called immediately before the request of an attempt is written, `time_left` being what its server is
+    /// told.
+    using OnWrite = std::function<void(int request, int attempt, int server, double time_left)>;
     /// The number of connections that may be open to a server, given how many of them would be busy.
     using ConnectionLimit = std::function<int(int server_id, int busy)>;
     static constexpr int kHealthCheck = -1;  ///< stands in place of a request id
@@ -62,7 +67,8 @@
     /// `timers` and `log` must outlive the pool. `max_connections` and `max_bytes` bound the connections and
     /// the buffered bytes of all servers together.
     UpstreamPool(TimerQueue& timers, Log& log, const Deployment& deployment, std::size_t max_connections,
-                 std::size_t max_bytes, OnFinished on_finished, OnConnected on_connected, BodySink body_sink);
+                 std::size_t max_bytes, OnFinished on_finished, OnConnected on_connected, OnWrite on_write,
+                 BodySink body_sink);
 
     /// Takes the connect and idle timeouts; connects already in progress keep their timeout.
     void apply_configuration(const Deployment& deployment);
@@ -82,12 +88,16 @@
                        double send_timeout);
     /// Like start_attempt(), for the server's health check; the request id of its result is kHealthCheck.
     void check_health(int server_id, double timeout);
-    /// Sends the request of an attempt announced by OnConnected, unless its deadline has passed.
-    void send(int request, int attempt);
+    /// Sends the request of an attempt announced by OnConnected; its server is told the time left now. An
+    /// attempt whose deadline or send timeout has passed ends as timed out.
+    void send(int request, int attempt, const Command& command);
     /// Ends an attempt announced by OnConnected without sending it; its connection becomes idle.
     void abandon(int request, int attempt);
     /// Ends an attempt and closes its connection. No effect if the attempt has already ended.
     void cancel(int request, int attempt);
+    /// Cancels an attempt of which a part is written and the rest is not yet on its way to the server, so
+    /// that it does not begin later. No effect on others.
+    void cancel_half_sent(int request, int attempt);
     /// Continues a stream whose sink had no capacity.
     void resume(std::uint64_t stream);
     /// Closes the connection of a stream whose remaining body is not wanted; BodySink::end is not called.
@@ -111,7 +121,7 @@
         int request = 0;
         int attempt = 0;
         std::string request_id;
-        std::string unsent;  // the request's bytes, until send() or a health check writes them
+        bool written = false;  // the request is written, at least to the socket's buffer
         double sent_at = 0;
         double deadline = 0;  // of the attempt
         double last_used = 0;
@@ -137,10 +147,11 @@
     Connection* open(int server_id);
     bool has_capacity(int server_id);
     bool evict_idle();
-    void begin_attempt(Connection& connection, int request, int attempt, double timeout, double send_timeout,
-                       std::string bytes);
+    bool begin_attempt(Connection& connection, int request, int attempt, double timeout, double send_timeout);
     void continue_attempt(Connection& connection);
-    void write_request(Connection& connection);
+    void on_ready(Connection& connection);
+    void write_command(Connection& connection, const Command& command);
+    void write_health_check(Connection& connection);
     void on_event(Connection& connection, TcpConnection::Event event);
     // `ended`: the peer has closed cleanly, so the input is all there is.
     void read_response(Connection& connection, bool ended = false);
@@ -151,7 +162,7 @@
     void end_stream(Connection& connection, bool complete);
     void keep_or_close(Connection& connection, bool reusable);
     static bool is_fully_sent(const Connection& connection) {
-        return connection.unsent.empty() && connection.socket->unwritten_bytes() == 0;
+        return connection.written && connection.socket->unwritten_bytes() == 0;
     }
     std::size_t parse(const Connection& connection, AttemptResponse& response, bool ended);
     void on_broken(Connection& connection, AttemptOutcome outcome_if_sent);
@@ -169,6 +180,7 @@
     ByteBudget budget_;
     OnFinished on_finished_;
     OnConnected on_connected_;
+    OnWrite on_write_;
     BodySink body_sink_;
     ConnectionLimit server_connection_limit_;
     std::uint64_t last_stream_ = 0;
