A streamed value with commands behind it is collected before it is written

Change: with commands behind it read already, a value is collected whole within the memory budget and for at most half of the time that its request has left; while one is streamed, no further command of that client is read. Each close of a client's connection names one of a closed set of reasons, and close_guard decides whether one that only rests may be closed; commands that a close loses are counted as violations and logged.

--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::size_t kReadLimitBytes = kMaxBufferedValueBytes + 2 * kMaxLineBytes;
 constexpr std::size_t kStreamWindowBytes = std::size_t{64} * 1024;  // written but not yet sent to the client
+constexpr std::size_t kLineEndBytes = 2;
 constexpr std::size_t kReservedShareDivisor = 2;  // half of the bytes may be reserved for long written values
 constexpr std::size_t kMaxPipelinedCommands = 32;
 // Pipelining is allowed while the unanswered commands are fewer than this fraction of the connections.
@@ -32,11 +33,12 @@
 
 }  // namespace
 
-ClientConnections::ClientConnections(TimerQueue& timers, Log& log, std::size_t max_connections,
-                                     std::size_t max_bytes, OnCommand on_command,
+ClientConnections::ClientConnections(TimerQueue& timers, Log& log, ViolationCounter& violations,
+                                     std::size_t max_connections, std::size_t max_bytes, OnCommand on_command,
                                      OnClientClosed on_client_closed, StreamCallbacks stream_callbacks)
     : timers_(timers),
       log_(log),
+      violations_(violations),
       max_connections_(max_connections),
       connection_limit_(max_connections),
       max_bytes_(max_bytes),
@@ -102,12 +104,12 @@
         oldest = &client;
         oldest_id = id;
     }
-    if (oldest != nullptr) close(oldest_id, *oldest);
+    if (oldest != nullptr) close(oldest_id, *oldest, CloseReason::evicted);
     return oldest != nullptr;
 }
 
 void ClientConnections::on_event(std::uint64_t id, Client& client, TcpConnection::Event event) {
-    if (event == TcpConnection::Event::closed) return close(id, client);
+    if (event == TcpConnection::Event::closed) return close(id, client, CloseReason::peer_closed);
     if (event == TcpConnection::Event::readable) {
         client.arrival_times.on_received(client.connection->input().size(), client.connection->received_at());
         if (!client.closing) client.last_used = monotonic_now();
@@ -167,7 +169,7 @@
         log_.line(Topic::client, error.empty() ? "unknown_command" : "malformed",
                   error.empty() ? "unknown command" : "malformed: " + error);
         finish_response(response, error.empty() ? "ERROR\r\n" : "CLIENT_ERROR " + error + "\r\n");
-        client.reading_stopped = command.framing_lost;
+        if (command.framing_lost) stop_reading(client, CloseReason::rejected);
     }
     write_responses(client);
 }
@@ -196,6 +198,10 @@
     // No commands are read from a client that does not read its responses.
     if (client.connection->unwritten_bytes() > 0) return HoldReason::unread_responses;
     if (client.pending.size() >= kMaxPipelinedCommands) return HoldReason::own_commands;
+    // A streamed response that breaks off ends the connection, and what was read behind it would be lost.
+    const bool streams = std::any_of(client.pending.begin(), client.pending.end(),
+                                     [](const PendingResponse& response) { return response.stream != 0; });
+    if (streams) return HoldReason::own_commands;
     return !client.pending.empty() && too_many_commands_of_all() ? HoldReason::commands_of_all
                                                                  : HoldReason::none;
 }
@@ -247,7 +253,7 @@
     log_.line(Topic::client, "turned_away", std::string("turned away: ") + line);
     finish_response(client.pending.emplace_back(), std::string(line) + "\r\n");
     ++unanswered_commands_;
-    client.reading_stopped = true;
+    stop_reading(client, CloseReason::rejected);
     discard_input(client);
     write_responses(client);
     close_if_done(id, client);
@@ -296,7 +302,7 @@
     }
     std::sort(idle.begin(), idle.end());
     for (std::size_t i = 0; i + max_idle < idle.size() && now - idle[i].first >= kMinIdleSeconds; ++i)
-        close_gracefully(idle[i].second, clients_.at(idle[i].second));
+        close_gracefully(idle[i].second, clients_.at(idle[i].second), CloseReason::too_many_idle);
 }
 
 void ClientConnections::check_timeouts(std::uint64_t id, Client& client, double now) {
@@ -310,12 +316,12 @@
     const bool inside_command = silent && !client.connection->input().empty();
     if (client.unread_response_bytes > 0) {
         const double limit = inside_command ? kSilenceTimeoutSeconds : kUnreadResponseTimeoutSeconds;
-        if (now - client.unread_since >= limit) close(id, client);
+        if (now - client.unread_since >= limit) close(id, client, CloseReason::unread_responses);
     } else if (inside_command) {
         reject_connection(id, client, "CLIENT_ERROR incomplete command");
     } else if (silent && client.pending.empty() &&
                (client.first_command == 0 || now - client.last_used >= kIdleTimeoutSeconds)) {
-        close(id, client);
+        close(id, client, client.first_command == 0 ? CloseReason::first_command_late : CloseReason::idle);
     }
 }
 
@@ -343,13 +349,33 @@
                                                                                        : nullptr;
 }
 
-void ClientConnections::begin_stream(const RequestHandle& handle, std::string header, std::uint64_t stream) {
+ClientConnections::PendingResponse& ClientConnections::response_to(Client& client,
+                                                                   const RequestHandle& handle) {
+    return client.pending[handle.command - client.first_command];
+}
+
+void ClientConnections::begin_stream(const RequestHandle& handle, std::string header, std::uint64_t stream,
+                                     std::size_t length, double collect_until) {
     Client* client = find(handle);
     if (client == nullptr) return stream_callbacks_.on_abandoned(stream);
-    PendingResponse& response = client->pending[handle.command - client->first_command];
+    PendingResponse& response = response_to(*client, handle);
     budget_.used += header.size();
     response.text = std::move(header);
     response.stream = stream;
+    const bool is_last = handle.command + 1 == client->first_command + client->pending.size();
+    if (is_last || budget_.used + length > budget_.limit) return write_responses(*client);
+    response.collecting = true;
+    response.text.reserve(response.text.size() + length + kLineEndBytes);
+    timers_.schedule(collect_until, [this, handle] { stop_collecting(handle); });
+    stream_callbacks_.on_writable(stream);
+}
+
+// From now on the response is written as it comes. If it breaks off, later ones are lost; but the client
+// would have nothing of this one in time if it were collected further.
+void ClientConnections::stop_collecting(const RequestHandle& handle) {
+    Client* client = find(handle);
+    if (client == nullptr || !response_to(*client, handle).collecting) return;
+    response_to(*client, handle).collecting = false;
     write_responses(*client);
 }
 
@@ -357,9 +383,11 @@
 // data waits at the server.
 std::size_t ClientConnections::stream_capacity(const RequestHandle& handle) const {
     const auto entry = clients_.find(handle.connection);
-    if (entry == clients_.end() || entry->second.connection->is_closed() ||
-        handle.command != entry->second.first_command)
-        return 0;
+    if (entry == clients_.end() || entry->second.connection->is_closed()) return 0;
+    const std::uint64_t index = handle.command - entry->second.first_command;
+    if (index < entry->second.pending.size() && entry->second.pending[index].collecting)
+        return kStreamWindowBytes;
+    if (index != 0) return 0;
     const std::size_t unwritten = entry->second.connection->unwritten_bytes();
     return unwritten < kStreamWindowBytes ? kStreamWindowBytes - unwritten : 0;
 }
@@ -368,15 +396,21 @@
     Client* client = find(handle);
     if (client == nullptr) return;
     client->last_used = monotonic_now();
-    client->connection->write(bytes);
+    PendingResponse& response = response_to(*client, handle);
+    if (!response.collecting) return client->connection->write(bytes);
+    response.text += bytes;
+    budget_.used += bytes.size();
+    if (budget_.exceeded()) stop_collecting(handle);
 }
 
 void ClientConnections::end_stream(const RequestHandle& handle, bool complete, std::string_view line) {
     Client* client = find(handle);
     if (client == nullptr) return;
-    PendingResponse& response = client->pending[handle.command - client->first_command];
+    PendingResponse& response = response_to(*client, handle);
     response.stream = 0;
+    const bool collected = std::exchange(response.collecting, false) && complete;
     budget_.used -= response.text.size();
+    std::string text = collected ? std::move(response.text) : std::string();
     response.text.clear();
     if (!complete && response.started) {
         log_.line(Topic::client, "value_broken_off",
@@ -384,11 +418,13 @@
         // Earlier responses are still sent. The client recognizes the truncated value by the early end of the
         // connection.
         response.ready = true;
-        client->reading_stopped = true;
+        stop_reading(*client, CloseReason::broken_value);
+        report_lost_commands(handle.connection, *client, CloseReason::broken_value,
+                             client->pending.size() - 1);
         abandon_pending(handle.connection, *client);
         return close_if_done(handle.connection, *client);
     }
-    finish_response(response, complete ? "\r\n" : std::string(line));
+    finish_response(response, complete ? text + "\r\n" : std::string(line));
     write_responses(*client);
     read_commands(handle.connection, *client);
     close_if_done(handle.connection, *client);
@@ -397,7 +433,8 @@
 void ClientConnections::write_responses(Client& client) {
     std::string text;
     while (!client.pending.empty() &&
-           (client.pending.front().ready || !client.pending.front().text.empty())) {
+           (client.pending.front().ready ||
+            (!client.pending.front().text.empty() && !client.pending.front().collecting))) {
         std::string& response_text = client.pending.front().text;
         budget_.used -= response_text.size();
         if (text.empty()) {
@@ -429,12 +466,34 @@
     if (!done || client.closing) return;
     const bool idle =
         client.connection->unwritten_bytes() == 0 && monotonic_now() - client.last_used >= kMinIdleSeconds;
-    if (close_idle_at_once_ && !client.reading_stopped && idle) return close(id, client);
-    close_gracefully(id, client);
+    const CloseReason reason = client.reading_stopped ? client.close_reason : CloseReason::shutdown;
+    if (close_idle_at_once_ && !client.reading_stopped && idle) return close(id, client, reason);
+    close_gracefully(id, client, reason);
+}
+
+CloseFacts ClientConnections::close_facts(const Client& client) const {
+    return {client.pending.size(), client.connection->has_unread_input()};
+}
+
+void ClientConnections::stop_reading(Client& client, CloseReason reason) {
+    client.reading_stopped = true;
+    client.close_reason = reason;
+}
+
+void ClientConnections::report_lost_commands(std::uint64_t id, const Client& client, CloseReason reason,
+                                             std::size_t unanswered) {
+    if (!loses_commands(reason, {unanswered, false})) return;
+    violations_.report(Violation::commands_lost,
+                       "connection " + std::to_string(id) + " closed as " + std::string(name_of(reason)) +
+                           ", " + std::to_string(unanswered) + " of " +
+                           std::to_string(client.first_command + client.pending.size()) +
+                           " commands unanswered");
 }
 
-void ClientConnections::close_gracefully(std::uint64_t id, Client& client) {
-    client.reading_stopped = client.closing = true;
+void ClientConnections::close_gracefully(std::uint64_t id, Client& client, CloseReason reason) {
+    if (!may_close(reason, close_facts(client))) return;
+    stop_reading(client, reason);
+    client.closing = true;
     client.connection->shutdown_write();
     start_lingering_close(id, client);
 }
@@ -447,7 +506,7 @@
         if (client.connection->unwritten_bytes() > 0) {
             start_lingering_close(id, client);
         } else {
-            close(id, client);
+            close(id, client, client.close_reason);
         }
     });
 }
@@ -470,8 +529,13 @@
            });
 }
 
-void ClientConnections::close(std::uint64_t id, Client& client) {
+void ClientConnections::close(std::uint64_t id, Client& client, CloseReason reason) {
     if (client.connection->is_closed()) return;
+    if (!client.closing && !may_close(reason, close_facts(client)))
+        violations_.report(Violation::closed_while_in_use,
+                           "connection " + std::to_string(id) + " closed as " + std::string(name_of(reason)));
+    report_lost_commands(id, client, reason, client.pending.size());
+    ++closed_counts_[static_cast<std::size_t>(reason)];
     timers_.cancel(client.linger_timer);
     client.connection->close();
     --open_count_;
@@ -483,7 +547,7 @@
     const auto entry = clients_.find(handle.connection);
     if (entry == clients_.end() || entry->second.connection->is_closed()) return true;
     if (!entry->second.connection->peer_has_closed()) return false;
-    close(handle.connection, entry->second);
+    close(handle.connection, entry->second, CloseReason::peer_closed);
     return true;
 }
 
--- a/src/downstream/client_connections.h
+++ b/src/downstream/client_connections.h
@@ -11,6 +11,7 @@
 // GLib main loop.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -22,6 +23,8 @@
 #include <vector>
 
 #include "downstream/arrival_times.h"
+#include "guard/close_guard.h"
+#include "guard/violations.h"
 #include "io/listener.h"
 #include "io/log.h"
 #include "io/tcp_connection.h"
@@ -52,10 +55,10 @@
         std::function<void(std::uint64_t stream)> on_abandoned;
     };
 
-    /// `timers` and `log` must outlive this object. `max_connections` and `max_bytes` bound the connections
-    /// and the buffered bytes of all clients together.
-    ClientConnections(TimerQueue& timers, Log& log, std::size_t max_connections, std::size_t max_bytes,
-                      OnCommand on_command, OnClientClosed on_client_closed,
+    /// `timers`, `log` and `violations` must outlive this object. `max_connections` and `max_bytes` bound the
+    /// connections and the buffered bytes of all clients together.
+    ClientConnections(TimerQueue& timers, Log& log, ViolationCounter& violations, std::size_t max_connections,
+                      std::size_t max_bytes, OnCommand on_command, OnClientClosed on_client_closed,
                       StreamCallbacks stream_callbacks);
     ClientConnections(const ClientConnections&) = delete;
     ClientConnections& operator=(const ClientConnections&) = delete;
@@ -66,8 +69,11 @@
     /// Answers a command with `text`, complete with its line end. No effect if it is already answered or the
     /// client has closed. Out of memory, an error line is sent instead of a long response.
     void respond(const RequestHandle& handle, std::string text);
-    /// Begins a streamed response with its header; the chunks follow within stream_capacity().
-    void begin_stream(const RequestHandle& handle, std::string header, std::uint64_t stream);
+    /// Begins a streamed response with its header; `length` bytes follow in chunks within stream_capacity().
+    /// Where further commands of the client are read already, it is collected whole before it is written, but
+    /// no longer than until `collect_until`: breaking off, it would take their responses with it.
+    void begin_stream(const RequestHandle& handle, std::string header, std::uint64_t stream,
+                      std::size_t length, double collect_until);
     std::size_t stream_capacity(const RequestHandle& handle) const;
     void write_chunk(const RequestHandle& handle, std::string_view bytes);
     /// Ends a streamed response. If it is not complete, `line` is sent in its place; once a part of it has
@@ -80,6 +86,10 @@
     /// Whether the client has closed its connection, even if the end is not read yet; closes it if so.
     bool has_closed(const RequestHandle& handle);
     bool empty() const { return open_count_ == 0; }
+    /// How many connections were closed for the reason.
+    std::uint64_t closed_count(CloseReason reason) const {
+        return closed_counts_[static_cast<std::size_t>(reason)];
+    }
     int open_count() const { return static_cast<int>(open_count_); }
     /// Limits this object to a share (0 to 1) of its connections and bytes; a sibling process uses the rest.
     void set_budget_share(double share);
@@ -95,6 +105,7 @@
         std::string text;
         std::uint64_t stream = 0;  // id of the streamed response, or 0
         bool started = false;      // a part of the streamed response is written
+        bool collecting = false;   // the streamed response is kept in `text` until it is complete
         std::size_t reserved = 0;  // bytes reserved for the command's value
     };
     /// Why input that holds a whole command is not read; each reason names who reads on.
@@ -116,6 +127,7 @@
         double unread_since = 0;
         bool reading_stopped = false;  // further input is discarded
         bool closing = false;          // all commands are answered and the write side is shut down
+        CloseReason close_reason = CloseReason::count;  // once it is closing or reading has stopped
         TimerQueue::Handle linger_timer;
         std::size_t reserved = 0;  // bytes reserved for the long value being read
         HoldReason held_back = HoldReason::none;
@@ -138,19 +150,26 @@
     void shed_input(std::uint64_t id, Client& client);
     Client* find(const RequestHandle& handle);
     void finish_response(PendingResponse& response, std::string text);
+    PendingResponse& response_to(Client& client, const RequestHandle& handle);
+    void stop_collecting(const RequestHandle& handle);
     void write_responses(Client& client);
     void reject_connection(std::uint64_t id, Client& client, const char* line);
     void check_clients();
     void close_longest_idle(double now);
     void check_timeouts(std::uint64_t id, Client& client, double now);
     void close_if_done(std::uint64_t id, Client& client);
-    void close_gracefully(std::uint64_t id, Client& client);
+    CloseFacts close_facts(const Client& client) const;
+    static void stop_reading(Client& client, CloseReason reason);
+    void report_lost_commands(std::uint64_t id, const Client& client, CloseReason reason,
+                              std::size_t unanswered);
+    void close_gracefully(std::uint64_t id, Client& client, CloseReason reason);
     void start_lingering_close(std::uint64_t id, Client& client);
     void abandon_pending(std::uint64_t id, Client& client);
-    void close(std::uint64_t id, Client& client);
+    void close(std::uint64_t id, Client& client, CloseReason reason);
 
     TimerQueue& timers_;
     Log& log_;
+    ViolationCounter& violations_;
     const std::size_t max_connections_;
     std::size_t connection_limit_;
     const std::size_t max_bytes_;
@@ -163,6 +182,7 @@
     Listener listener_;
     std::map<std::uint64_t, Client> clients_;
     std::vector<std::uint64_t> closed_;
+    std::array<std::uint64_t, static_cast<std::size_t>(CloseReason::count)> closed_counts_{};
     std::size_t open_count_ = 0;
     std::size_t unanswered_commands_ = 0;  // commands whose response is not written
     std::deque<std::uint64_t> held_back_;  // connections held back for commands_of_all, the longest first
--- a/src/guard/send_guard.cpp
+++ b/src/guard/send_guard.cpp
@@ -4,7 +4,8 @@
 namespace {
 
 SendRefusal check_repeat(const SendFacts& facts) {
-    if (facts.may_have_run_since == 0 || facts.idempotency == Idempotency::idempotent) return SendRefusal::none;
+    if (facts.may_have_run_since == 0 || facts.idempotency == Idempotency::idempotent)
+        return SendRefusal::none;
     if (facts.idempotency == Idempotency::none) return SendRefusal::would_repeat;
     const double window_end = facts.may_have_run_since + facts.deduplication_window;
     return facts.now + kHoldUpAllowance >= window_end ? SendRefusal::window_over : SendRefusal::none;
--- a/src/guard/send_guard.h
+++ b/src/guard/send_guard.h
@@ -1,5 +1,5 @@
-// Whether an attempt may be sent now. The one place that decides it, asked at the last moment: when the attempt
-// is about to be written to its connection, and not when it was planned.
+// Whether an attempt may be sent now. The one place that decides it, asked at the last moment: when the
+// attempt is about to be written to its connection, and not when it was planned.
 //
 // No I/O and no state. Times are seconds on the monotonic clock.
 #pragma once
@@ -12,14 +12,14 @@
 
 /// Why an attempt must not be sent.
 enum class SendRefusal {
-    none,             ///< it may be sent
-    answered,         ///< its request has had its final answer
-    client_closed,    ///< its client has closed the connection
-    deadline_passed,  ///< its client has stopped waiting
-    would_repeat,     ///< an earlier attempt may have run, and the operation may run only once
-    window_over,      ///< a retry that could run after its idempotency key is forgotten
-    server_not_ready, ///< its server is draining, removed, or taken out by an operator
-    over_quota        ///< this node's share of the fleet's limit on the origin is used up
+    none,              ///< it may be sent
+    answered,          ///< its request has had its final answer
+    client_closed,     ///< its client has closed the connection
+    deadline_passed,   ///< its client has stopped waiting
+    would_repeat,      ///< an earlier attempt may have run, and the operation may run only once
+    window_over,       ///< a retry that could run after its idempotency key is forgotten
+    server_not_ready,  ///< its server is draining, removed, or taken out by an operator
+    over_quota         ///< this node's share of the fleet's limit on the origin is used up
 };
 
 /// What is known of an attempt at the moment in which it would be written.
--- a/src/guard/violations.h
+++ b/src/guard/violations.h
@@ -1,5 +1,5 @@
-// The count of rules that this process has seen itself break. Each is a fault of the program: it is logged with
-// its ids, counted by kind in every build, and shown among the metrics.
+// The count of rules that this process has seen itself break. Each is a fault of the program: it is logged
+// with its ids, counted by kind in every build, and shown among the metrics.
 #pragma once
 
 #include <array>
@@ -12,13 +12,13 @@
 
 /// The rules that are checked while the program runs.
 enum class Violation {
-    sent_unasked,        ///< an attempt was written although the send guard refuses it
-    deadline_too_long,   ///< a server was told more time than the client has left
-    commands_lost,       ///< commands were read and their connection closed without their responses
-    closed_while_in_use, ///< a connection was closed as idle while it held something of its client's
-    answered_late,       ///< a request had no final answer by its deadline and grace
-    window_passed,       ///< a retry was sent after its idempotency key may be forgotten
-    count                ///< the number of kinds
+    sent_unasked,         ///< an attempt was written although the send guard refuses it
+    deadline_too_long,    ///< a server was told more time than the client has left
+    commands_lost,        ///< commands were read and their connection closed without their responses
+    closed_while_in_use,  ///< a connection was closed as idle while it held something of its client's
+    answered_late,        ///< a request had no final answer by its deadline and grace
+    window_passed,        ///< a retry was sent after its idempotency key may be forgotten
+    count                 ///< the number of kinds
 };
 
 /// One word for the log and for metrics.
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -115,7 +115,8 @@
                clients_.end_stream(client, whole, kFailed);
            }}),
       clients_(
-          timers_, log, connection_budget(config.descriptors, kClientsShare), buffer_budget(config.memory_mb),
+          timers_, log, violations_, connection_budget(config.descriptors, kClientsShare),
+          buffer_budget(config.memory_mb),
           [this](const ClientConnections::RequestHandle& client, Command&& command, double received_at) {
               return on_command(client, std::move(command), received_at);
           },
@@ -377,12 +378,13 @@
         active.may_have_run_since = 0;
     if (result.stream != 0 && !active.answered) {
         // The client gets its first bytes now, and no other attempt may answer it any more.
-        action_queue_.emplace_back(
-            [this, client = active.client, stream = result.stream,
-             head = format_value_header(active.command.id, result.stream_length)]() mutable {
-                streams_.emplace(stream, client);
-                clients_.begin_stream(client, std::move(head), stream);
-            });
+        action_queue_.emplace_back([this, client = active.client, stream = result.stream,
+                                    head = format_value_header(active.command.id, result.stream_length),
+                                    length = result.stream_length,
+                                    collect_until = now + (active.deadline - now) / 2]() mutable {
+            streams_.emplace(stream, client);
+            clients_.begin_stream(client, std::move(head), stream, length, collect_until);
+        });
         finish(result.request);
     } else if (result.stream != 0) {
         pool_.abandon_stream(result.stream);
