--- /dev/null
+++ b/src/io/wall_clock.cpp
@@ -0,0 +1,31 @@
+#include "io/wall_clock.h"
+
+#include <glib.h>
+
+#include <cmath>
+
+#include "io/timer_queue.h"
+
+namespace brookrelay {
+namespace {
+
+// Smaller differences are the slewing of a clock that is kept right, and the time between two readings.
+constexpr double kMinStepSeconds = 0.5;
+
+}  // namespace
+
+WallClock::WallClock() : wall_offset_(read().wall_offset) {}
+
+ClockReading WallClock::read() const {
+    const double now = monotonic_now();
+    return {now, static_cast<double>(g_get_real_time()) / 1e6 - now};
+}
+
+double WallClock::take_step() {
+    const double step = read().wall_offset - wall_offset_;
+    if (std::abs(step) < kMinStepSeconds) return 0;
+    wall_offset_ += step;
+    return step;
+}
+
+}  // namespace brookrelay
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -414,7 +414,7 @@
         if (!servers_.contains(record.name)) first_seen.push_back(record.name);
         const int server = servers_.find_or_add(record.name);
         listed_servers.insert(server);
-        servers_.update(server, record, admin_state_.state_of(record.name));
+        servers_.update(server, record, admin_state_.state_of(record.name), wall_clock_.read());
         const Server& s = servers_.at(server);
         entries.push_back(servers_.endpoint(server));
         pool_.add_server(server, s.name, s.address, servers_.is_origin(s));
@@ -755,7 +755,7 @@
 
 void Node::save_warm_start() {
     if (!accepts_clients_) return;
-    warm_start_file_.save(balancer_->snapshot(monotonic_now()), config_.names.kinds,
+    warm_start_file_.save(balancer_->snapshot(monotonic_now()), wall_clock_.read(), config_.names.kinds,
                           [this](int server) { return servers_.at(server).name; });
     timers_.schedule(monotonic_now() + kWarmStartInterval, [this] { save_warm_start(); });
 }
@@ -763,7 +763,7 @@
 void Node::load_warm_start(double now) {
     if (!has_shared_listener_ || config_.state_folder.empty()) return;
     const auto snapshot =
-        warm_start_file_.load(wall_clock_offset_ + now, config_.names.kinds,
+        warm_start_file_.load(wall_clock_.read(), config_.names.kinds,
                               [this](const std::string& name) { return servers_.find(name); });
     if (!snapshot) return;
     balancer_->restore(now, *snapshot);
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -28,6 +28,7 @@
 #include "guard/violations.h"
 #include "io/log.h"
 #include "io/timer_queue.h"
+#include "io/wall_clock.h"
 #include "proxy/graceful_shutdown.h"
 #include "proxy/request_table.h"
 #include "proxy/server_table.h"
@@ -110,6 +111,7 @@
     OperatorConfig operator_config_;
     Log& log_;
     TimerQueue timers_;
+    WallClock wall_clock_;
     const double wall_clock_offset_;
     ViolationCounter violations_;
     std::unique_ptr<Balancer> balancer_;
--- a/src/proxy/server_table.cpp
+++ b/src/proxy/server_table.cpp
@@ -36,8 +36,8 @@
     return number;
 }
 
-void ServerTable::update(int number, const EndpointRecord& record,
-                         const AdminState::ServerState& admin_state) {
+void ServerTable::update(int number, const EndpointRecord& record, const AdminState::ServerState& admin_state,
+                         const ClockReading& /*clock*/) {
     Server& server = at(number);
     server.state = record.state;
     server.started_at = record.started_at;
@@ -49,6 +49,8 @@
     server.admin_state = admin_state;
 }
 
+void ServerTable::on_list_applied(double /*now*/) {}
+
 bool ServerTable::is_origin(const Server& server) const {
     return server.kind >= 0 && server.kind == deployment_.origin_kind;
 }
--- a/src/proxy/server_table.h
+++ b/src/proxy/server_table.h
@@ -12,6 +12,7 @@
 #include "admin/admin_state.h"
 #include "balancer/balancer.h"
 #include "config/node_config.h"
+#include "io/wall_clock.h"
 
 namespace brookrelay {
 
@@ -43,7 +44,10 @@
     std::size_t size() const { return numbers_.size(); }
 
     /// Takes over what `record` tells of a server; fields that it doesn't tell keep their value.
-    void update(int number, const EndpointRecord& record, const AdminState::ServerState& admin_state);
+    void update(int number, const EndpointRecord& record, const AdminState::ServerState& admin_state,
+                const ClockReading& clock);
+    /// A list from discovery was applied as a whole at `now`: what later ones tell anew has happened since.
+    void on_list_applied(double now);
     bool is_origin(const Server& server) const;
     /// Ready, and not drained by an operator.
     bool accepts_attempts(int number) const;
--- a/src/proxy/warm_start_file.cpp
+++ b/src/proxy/warm_start_file.cpp
@@ -19,7 +19,8 @@
 
 WarmStartFile::WarmStartFile(std::string path) : path_(std::move(path)) {}
 
-void WarmStartFile::save(const WarmStartSnapshot& snapshot, const std::vector<std::string>& kinds,
+void WarmStartFile::save(const WarmStartSnapshot& snapshot, const ClockReading& /*clock*/,
+                         const std::vector<std::string>& kinds,
                          const std::function<std::string(int)>& name_of) const {
     const std::string temporary_path = path_ + "-" + std::to_string(getpid());
     {
@@ -31,11 +32,11 @@
 }
 
 std::optional<WarmStartSnapshot> WarmStartFile::load(
-    double wall_time, const std::vector<std::string>& kinds,
+    const ClockReading& clock, const std::vector<std::string>& kinds,
     const std::function<int(const std::string&)>& number_of) const {
     struct stat status {};
     if (stat(path_.c_str(), &status) != 0) return std::nullopt;
-    if (wall_time - static_cast<double>(status.st_mtim.tv_sec) > kMaxAge) return std::nullopt;
+    if (clock.wall_now() - static_cast<double>(status.st_mtim.tv_sec) > kMaxAge) return std::nullopt;
     std::ifstream file(path_);
     const std::string text{std::istreambuf_iterator<char>(file), {}};
     return parse_warm_start(text, kinds, number_of);
--- a/src/proxy/warm_start_file.h
+++ b/src/proxy/warm_start_file.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "balancer/balancer.h"
+#include "io/wall_clock.h"
 
 namespace brookrelay {
 
@@ -17,11 +18,11 @@
     explicit WarmStartFile(std::string path);
 
     /// Replaces the file atomically; where the write fails the error is ignored, since the next save is near.
-    void save(const WarmStartSnapshot& snapshot, const std::vector<std::string>& kinds,
-              const std::function<std::string(int)>& name_of) const;
-    /// The snapshot, or nothing where the file is missing, malformed or too old. `wall_time`: now, in seconds
-    /// since the epoch. `number_of` returns -1 for a server that is not known; its entries are left out.
-    std::optional<WarmStartSnapshot> load(double wall_time, const std::vector<std::string>& kinds,
+    void save(const WarmStartSnapshot& snapshot, const ClockReading& clock,
+              const std::vector<std::string>& kinds, const std::function<std::string(int)>& name_of) const;
+    /// The snapshot, or nothing where the file is missing, malformed or too old. `number_of` returns -1 for a
+    /// server that is not known; its entries are left out.
+    std::optional<WarmStartSnapshot> load(const ClockReading& clock, const std::vector<std::string>& kinds,
                                           const std::function<int(const std::string&)>& number_of) const;
 
   private:
--- /dev/null
+++ b/tests/recovery_test.cpp
@@ -0,0 +1,112 @@
+// What has to survive kills, full disks and a wall clock that is stepped: the state folder, the warm start and
+// the slow start of servers.
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "admin/admin_state.h"
+#include "proxy/server_table.h"
+#include "proxy/warm_start_file.h"
+
+namespace {
+
+using namespace brookrelay;
+
+constexpr double kHour = 3600;
+
+// A folder of the test's own, removed at its end.
+class Folder {
+  public:
+    Folder() {
+        std::string pattern = testing::TempDir() + "recovery-XXXXXX";
+        path_ = mkdtemp(pattern.data());
+    }
+    ~Folder() { std::filesystem::remove_all(path_); }
+    Folder(const Folder&) = delete;
+    Folder& operator=(const Folder&) = delete;
+    std::string at(const std::string& name) const { return path_ + "/" + name; }
+
+  private:
+    std::string path_;
+};
+
+// ---- the state folder ------------------------------------------------------------------------------------
+
+// A kill, or a full disk, in the middle of a write leaves half a line.
+TEST(StateFolder, HalfALineSpoilsNoOtherName) {
+    const Folder folder;
+    AdminState state(folder.at("state"));
+    state.record_listed({"s-1"});
+    std::ofstream(folder.at("state/listed"), std::ios::app) << "s-1";  // of "s-17"
+    state.record_listed({"s-2", "s-3"});
+    for (const char* name : {"s-1", "s-2", "s-3"}) EXPECT_TRUE(state.was_ever_listed(name)) << name;
+    EXPECT_FALSE(state.was_ever_listed("s-17"));
+}
+
+// ---- the slow start of servers ---------------------------------------------------------------------------
+
+constexpr double kSlowStart = 30;
+
+// A table of one server that is known from the first list and starts anew later, while the wall clock of this
+// node is stepped by `step` before it starts, or after that.
+struct Restart {
+    Deployment deployment;
+    std::unique_ptr<ServerTable> table;
+    int server = 0;
+    double now = 1000;
+    static constexpr double kTrueOffset = 1e9;  // of the others' clocks
+
+    explicit Restart(double step_before, double step_after) {
+        deployment.slow_start_duration = kSlowStart;
+        table = std::make_unique<ServerTable>(deployment, kTrueOffset + step_before);
+        server = table->find_or_add("s-1");
+        list(0, step_before);
+        now += 100;
+        list(0, step_before + step_after);
+        now += 1;
+        list(kTrueOffset + now - 0.2, step_before + step_after);  // it started 0.2 s ago
+    }
+    void list(double started_at, double step) {
+        EndpointRecord record;
+        record.name = "s-1";
+        record.started_at = started_at;
+        table->update(server, record, {}, {now, kTrueOffset + step});
+        table->on_list_applied(now);
+    }
+};
+
+TEST(SlowStart, OfAServerThatWasSeenToRestartLastsItsTimeWhateverTheWallClockSays) {
+    for (const double before : {0.0, 5.0, -5.0, kHour, -kHour}) {
+        for (const double after : {0.0, 5.0, -5.0, kHour, -kHour}) {
+            SCOPED_TRACE(testing::Message() << before << " s before the start, " << after << " s after it");
+            const Restart restart(before, after);
+            EXPECT_TRUE(restart.table->is_cold(restart.server, restart.now + kSlowStart - 1));
+            EXPECT_FALSE(restart.table->is_cold(restart.server, restart.now + kSlowStart + 1));
+            const double started_at = restart.table->endpoint(restart.server).started_at;
+            EXPECT_LE(started_at, restart.now);
+            EXPECT_GE(started_at, restart.now - 1);
+        }
+    }
+}
+
+// ---- the warm start --------------------------------------------------------------------------------------
+
+// What a process wrote an hour ago says nothing, also where the clock was set back by that hour since; what it
+// wrote just now counts, also where the clock was set on or back meanwhile.
+TEST(WarmStart, CountsByItsRealAge) {
+    const Folder folder;
+    const WarmStartFile file(folder.at("learned"));
+    const auto name_of = [](int) { return std::string("s-1"); };
+    const auto number_of = [](const std::string&) { return 0; };
+    const double offset = static_cast<double>(time(nullptr)) - 1000;
+    file.save({}, {1000, offset}, {}, name_of);
+    for (const double step : {0.0, kHour, -kHour}) {
+        EXPECT_TRUE(file.load({1001, offset + step}, {}, number_of).has_value()) << step;
+        EXPECT_FALSE(file.load({1000 + kHour, offset + step}, {}, number_of).has_value()) << step;
+    }
+}
+
+}  // namespace
