--- a/src/admin/admin_state.cpp
+++ b/src/admin/admin_state.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <memory>
@@ -20,6 +21,7 @@
 constexpr std::string_view kDrainedPrefix = "out-";
 constexpr std::string_view kRestoredPrefix = "back-";
 constexpr double kRestoredMarkLifetime = 600;  // s; longer than any slow start after a restore
+constexpr double kNanosecondsPerSecond = 1e9;
 constexpr mode_t kDirectoryMode = 0700;
 constexpr mode_t kFileMode = 0600;
 
@@ -75,12 +77,22 @@
     return directory_ + "/" + std::string(prefix) + percent_encoded(name);
 }
 
+bool AdminState::sync_directory() const {
+    const FileDescriptor directory(open(directory_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+    return directory.is_open() && fsync(directory.get()) == 0;
+}
+
 bool AdminState::drain(const std::string& name) {
     if (!directory_.empty()) {
+        const std::string drained_path = path(kDrainedPrefix, name);
+        const bool was_drained = access(drained_path.c_str(), F_OK) == 0;
         {
-            const FileDescriptor file(
-                open(path(kDrainedPrefix, name).c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, kFileMode));
+            const FileDescriptor file(open(drained_path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, kFileMode));
             if (!file.is_open()) return false;
+            if (fsync(file.get()) != 0 || !sync_directory()) {
+                if (!was_drained) unlink(drained_path.c_str());
+                return false;
+            }
         }
         unlink(path(kRestoredPrefix, name).c_str());
     }
@@ -97,7 +109,11 @@
     const std::string drained_path = path(kDrainedPrefix, name);
     const std::string restored_path = path(kRestoredPrefix, name);
     utimensat(AT_FDCWD, drained_path.c_str(), nullptr, 0);
-    if (std::rename(drained_path.c_str(), restored_path.c_str()) != 0) return errno == ENOENT;  // not drained
+    if (std::rename(drained_path.c_str(), restored_path.c_str()) != 0) {
+        // Not drained. If the mark went with a call whose sync failed, it is to be on the disk now.
+        return errno == ENOENT && (access(restored_path.c_str(), F_OK) != 0 || sync_directory());
+    }
+    if (!sync_directory() && std::rename(restored_path.c_str(), drained_path.c_str()) == 0) return false;
     struct stat status {};
     // The time that each later reload reads: a different one would count as another restore.
     const double restored_at = stat(restored_path.c_str(), &status) == 0 ? modified_at(status) : wall_now;
@@ -125,6 +141,18 @@
     return changed;
 }
 
+void AdminState::on_clock_step(double step) {
+    for (auto& [name, state] : states_) {
+        if (state.restored_at == 0) continue;
+        state.restored_at += step;
+        const double seconds = std::floor(state.restored_at);
+        const timespec time{static_cast<time_t>(seconds),
+                            static_cast<long>((state.restored_at - seconds) * kNanosecondsPerSecond)};
+        const timespec times[] = {time, time};
+        utimensat(AT_FDCWD, path(kRestoredPrefix, name).c_str(), times, 0);
+    }
+}
+
 void AdminState::record_listed(const std::vector<std::string>& names) {
     if (directory_.empty()) {
         listed_in_memory_.insert(names.begin(), names.end());
@@ -134,14 +162,31 @@
     for (const std::string& name : names) {
         if (!in_listed_file(name)) lines.append(percent_encoded(name)).append("\n");
     }
-    if (lines.empty()) return;
+    if (!lines.empty() && !append_listed(lines)) listed_in_memory_.insert(names.begin(), names.end());
+}
+
+void AdminState::retry_listed() {
+    if (directory_.empty() || listed_in_memory_.empty()) return;
+    const std::vector<std::string> names(listed_in_memory_.begin(), listed_in_memory_.end());
+    listed_in_memory_.clear();
+    record_listed(names);
+}
+
+// A single write, because several processes append to the file. One that was cut short, by a kill or a full
+// disk, has left half a line, which this one ends. Returns whether all of it was written.
+bool AdminState::append_listed(const std::string& lines) const {
     const FileDescriptor file(
-        open((directory_ + "/listed").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode));
-    if (!file.is_open()) return;
-    // A single write, because several processes append to the file.
-    if (write(file.get(), lines.data(), lines.size()) < 0) {
-        listed_in_memory_.insert(names.begin(), names.end());
-    }
+        open((directory_ + "/listed").c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode));
+    if (!file.is_open()) return false;
+    const off_t size = lseek(file.get(), 0, SEEK_END);
+    char last = '\n';
+    if (size > 0 && pread(file.get(), &last, 1, size - 1) != 1) last = 0;
+    const std::string text = last == '\n' ? lines : "\n" + lines;
+    ssize_t written = 0;
+    do {
+        written = write(file.get(), text.data(), text.size());
+    } while (written < 0 && errno == EINTR);
+    return written == static_cast<ssize_t>(text.size());
 }
 
 bool AdminState::was_ever_listed(const std::string& name) const {
--- a/src/admin/admin_state.h
+++ b/src/admin/admin_state.h
@@ -3,7 +3,8 @@
 // It owns a directory that all processes of the node share: one file `out-NAME` for each drained server, one
 // file `back-NAME` for each recently restored one (its modification time is the time of the restore), and
 // `listed`, the names of all servers that were ever on the endpoint list. NAME is percent-encoded. A change
-// is one atomic step of the file system, so a process that dies in the middle leaves it done or not done.
+// is one atomic step of the file system, so a process that dies in the middle leaves it done or not done; it
+// is on the disk before it counts as made.
 // It does not know the endpoint list and has no callbacks: the owner calls reload() and merges the result.
 // Times are wall-clock seconds since the epoch. Errors of the file system are reported by a result of false
 // where the caller can act on them.
@@ -40,13 +41,20 @@
     // process changed it. Deletes restore marks that are too old to matter.
     std::vector<std::string> reload(double wall_now);
 
-    // Remembers that these servers were on the endpoint list.
+    // The wall clock was stepped by so many seconds: marks are kept at their real age.
+    void on_clock_step(double step);
+
+    // Remembers that these servers were on the endpoint list; in memory until the file can be written.
     void record_listed(const std::vector<std::string>& names);
+    // Writes the names that could not be written when they were recorded, if there are any.
+    void retry_listed();
     // Whether any process of the node has recorded the name.
     bool was_ever_listed(const std::string& name) const;
 
   private:
     std::string path(std::string_view prefix, const std::string& name) const;
+    bool sync_directory() const;
+    bool append_listed(const std::string& lines) const;
     bool in_listed_file(const std::string& name) const;
 
     std::string directory_;
--- a/src/config/warm_start.cpp
+++ b/src/config/warm_start.cpp
@@ -21,6 +21,9 @@
     json.String(name.data(), static_cast<rapidjson::SizeType>(name.size()));
 }
 
+constexpr const char* kBootKey = "boot";
+constexpr const char* kWrittenAtKey = "written_at";
+
 double required_number(const rapidjson::Value& object, const char* name) {
     return number(need(object, name), name);
 }
@@ -90,4 +93,26 @@
     return std::nullopt;
 }
 
+std::string with_written_at(std::string snapshot_text, const BootTime& written_at) {
+    rapidjson::StringBuffer buffer;
+    rapidjson::Writer<rapidjson::StringBuffer> json(buffer);
+    json.StartObject();
+    json.Key(kBootKey);
+    json.String(written_at.boot_id.data(), static_cast<rapidjson::SizeType>(written_at.boot_id.size()));
+    put(json, kWrittenAtKey, written_at.seconds);
+    json.EndObject();
+    // Both are objects: the first one's members go to the front of the second one's.
+    const std::string members(buffer.GetString() + 1, buffer.GetSize() - 2);
+    return snapshot_text.insert(1, members + ",");
+}
+
+std::optional<BootTime> parse_written_at(const std::string& content) try {
+    rapidjson::Document root;
+    root.Parse(content.data(), content.size());
+    if (root.HasParseError() || !root.IsObject()) return std::nullopt;
+    return BootTime{std::string(text(need(root, kBootKey), kBootKey)), required_number(root, kWrittenAtKey)};
+} catch (const ConfigurationError&) {
+    return std::nullopt;
+}
+
 }  // namespace brookrelay
--- a/src/config/warm_start.h
+++ b/src/config/warm_start.h
@@ -20,4 +20,14 @@
     const std::string& content, const std::vector<std::string>& kinds,
     const std::function<int(const std::string&)>& index_of_server);
 
+// A moment that does not depend on the wall clock: the boot of the machine, and monotonic seconds since.
+struct BootTime {
+    std::string boot_id;
+    double seconds = 0;
+};
+// The snapshot's text with the moment at which it is written.
+std::string with_written_at(std::string snapshot_text, const BootTime& written_at);
+// Nothing if the text is malformed or does not tell it, as that of an older program.
+std::optional<BootTime> parse_written_at(const std::string& content);
+
 }  // namespace brookrelay
--- a/src/io/wall_clock.cpp
+++ b/src/io/wall_clock.cpp
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include <cmath>
+#include <fstream>
 
 #include "io/timer_queue.h"
 
@@ -14,6 +15,12 @@
 
 }  // namespace
 
+std::string boot_id() {
+    std::string id;
+    std::getline(std::ifstream("/proc/sys/kernel/random/boot_id"), id);
+    return id;
+}
+
 WallClock::WallClock() : wall_offset_(read().wall_offset) {}
 
 ClockReading WallClock::read() const {
--- a/src/io/wall_clock.h
+++ b/src/io/wall_clock.h
@@ -1,9 +1,11 @@
-// The wall clock beside the monotonic one. Everything that is waited for or measured runs on the monotonic clock;
-// the wall clock only relates times that others tell, and may be stepped at any moment.
+// The wall clock beside the monotonic one. Everything that is waited for or measured runs on the monotonic
+// clock; the wall clock only relates times that others tell, and may be stepped at any moment.
 //
 // Times are seconds. Used from one thread.
 #pragma once
 
+#include <string>
+
 namespace brookrelay {
 
 /// The two clocks at one moment.
@@ -13,6 +15,9 @@
     double wall_now() const { return now + wall_offset; }
 };
 
+/// Identifies the machine's present boot, within which processes share the monotonic clock; empty: unknown.
+std::string boot_id();
+
 /// Reads both clocks and notices steps of the wall clock.
 class WallClock {
   public:
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -27,6 +27,8 @@
 
 constexpr double kAdminStateInterval = 0.025;  // s between reloads of what sibling processes wrote
 
+constexpr double kListedRetryInterval = 1.0;  // s between attempts to write down names, after one that failed
+
 constexpr double kWarmStartInterval = 0.25;  // s between saves of the warm-start file
 
 constexpr int kDescriptorMargin = 16;     // that a sibling process may open between two updates
@@ -78,7 +80,6 @@
     : config_(config),
       operator_config_(operator_config),
       log_(log),
-      wall_clock_offset_(static_cast<double>(g_get_real_time()) / 1e6 - monotonic_now()),
       violations_([this](Violation kind, std::string_view details) {
           log_.line(Topic::node, "violation",
                     "rule broken: " + std::string(name_of(kind)) + ", " + std::string(details));
@@ -141,7 +142,7 @@
           [this](std::uint64_t caller, const HttpRequest& call) { handle_admin_request(caller, call); }),
       admin_state_(node_folder(config)),
       warm_start_file_(node_folder(config) + "/learned"),
-      servers_(config_.deployment, wall_clock_offset_) {
+      servers_(config_.deployment, wall_clock_.read().wall_offset) {
     if (operator_config.gossip_enabled) {
         const std::string refusal = GossipAgent::why_unavailable(config);
         if (refusal.empty()) {
@@ -193,7 +194,7 @@
     if (!config_.admin_listen.empty() && !admin_server_.listen(config_.admin_listen, error))
         throw BindError("field 'management': " + error);
     iteration_started_at_ = monotonic_now();
-    const std::vector<std::string> by_hand = admin_state_.reload(wall_clock_offset_ + monotonic_now());
+    const std::vector<std::string> by_hand = admin_state_.reload(wall_clock_.read().wall_now());
     event_queue_.emplace_back([this, by_hand](double now) {
         apply_endpoint_update(now, UpdateKind::cached_on_disk, config_.cached_endpoints);
         apply_admin_state(now, by_hand);
@@ -210,6 +211,7 @@
     if (gossip_ != nullptr) gossip_->start();
     clients_.listen(std::move(listener));
     timers_.schedule(monotonic_now(), [this] { reload_admin_state(); });
+    timers_.schedule(monotonic_now() + kListedRetryInterval, [this] { retry_listed(); });
     if (has_shared_listener_ && !config_.state_folder.empty())
         timers_.schedule(monotonic_now() + kWarmStartInterval, [this] { save_warm_start(); });
     accepts_clients_ = true;
@@ -439,6 +441,7 @@
                       (list.is_full ? " (whole list)" : ""));
     }
     if (!first_seen.empty()) admin_state_.record_listed(first_seen);
+    if (kind != UpdateKind::cached_on_disk) servers_.on_list_applied(now);
     balancer_->on_endpoints(now, kind, entries);
     evict_removed_servers();
     publish_endpoints();
@@ -479,7 +482,7 @@
         s.state = c.standing;
         const int known = servers_.find(s.name);
         s.started_at = first                            ? c.who.started
-                       : c.fresh                        ? monotonic_now() + wall_clock_offset_
+                       : c.fresh                        ? wall_clock_.read().wall_now()
                        : known != ServerTable::kUnknown ? servers_.at(known).started_at
                                                         : 0;
         list.servers.push_back(std::move(s));
@@ -681,7 +684,7 @@
         // Without the origin no write and no miss could be answered, and no other server can replace it.
         if (known != ServerTable::kUnknown && servers_.is_origin(servers_.at(known)))
             return say(409, "the origin cannot be taken out");
-        if (!(drain ? admin_state_.drain(name) : admin_state_.restore(name, wall_clock_offset_ + now)))
+        if (!(drain ? admin_state_.drain(name) : admin_state_.restore(name, wall_clock_.read().wall_now())))
             return say(503, "could not be written down, nothing has changed");
         apply_admin_state(now, {name});
         say(200, drain ? "out" : "may serve");
@@ -701,7 +704,7 @@
         const std::string refusal = gossip_->why_zones_unavailable();
         if (!refusal.empty()) return say(409, refusal);
         if (drain && config_.names.zones.size() < 2) return say(409, "the only zone cannot be left");
-        if (!(drain ? admin_state_.drain(key) : admin_state_.restore(key, wall_clock_offset_ + now)))
+        if (!(drain ? admin_state_.drain(key) : admin_state_.restore(key, wall_clock_.read().wall_now())))
             return say(503, "could not be written down, nothing has changed");
         apply_admin_state(now, {key});
         say(200, drain ? "left" : "is taken back in steps");
@@ -717,9 +720,8 @@
                 admin_state_.state_of(name).drained);
         const int known = servers_.find(name);
         if (known == ServerTable::kUnknown) continue;
-        Server& s = servers_.at(known);
-        if (s.admin_state == admin_state_.state_of(name)) continue;
-        s.admin_state = admin_state_.state_of(name);
+        if (!servers_.set_admin_state(known, admin_state_.state_of(name), wall_clock_.read())) continue;
+        const Server& s = servers_.at(known);
         log_.line(Topic::node, s.admin_state.drained ? "taken_out" : "called_back",
                   name + (s.admin_state.drained ? " is out by hand" : " may serve again"));
         entries.push_back(servers_.endpoint(known));
@@ -729,7 +731,13 @@
 }
 
 void Node::reload_admin_state() {
-    std::vector<std::string> changed = admin_state_.reload(wall_clock_offset_ + monotonic_now());
+    if (const double step = wall_clock_.take_step(); step != 0) {
+        char text[80];
+        std::snprintf(text, sizeof text, "the wall clock was stepped by %.3f s", step);
+        log_.line(Topic::node, "clock_stepped", text);
+        admin_state_.on_clock_step(step);
+    }
+    std::vector<std::string> changed = admin_state_.reload(wall_clock_.read().wall_now());
     if (!changed.empty()) {
         event_queue_.emplace_back(
             [this, names = std::move(changed)](double now) { apply_admin_state(now, names); });
@@ -738,6 +746,11 @@
     timers_.schedule(monotonic_now() + kAdminStateInterval, [this] { reload_admin_state(); });
 }
 
+void Node::retry_listed() {
+    admin_state_.retry_listed();
+    timers_.schedule(monotonic_now() + kListedRetryInterval, [this] { retry_listed(); });
+}
+
 // Descriptors and memory are one budget for all processes of this node: less what the siblings hold.
 void Node::update_budget_share() {
     if (sibling_processes_ == nullptr) return;
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -101,6 +101,7 @@
     void change_zone_state(std::uint64_t caller, const std::string& name, bool drain);
     void apply_admin_state(double now, const std::vector<std::string>& names);
     void reload_admin_state();
+    void retry_listed();
     void update_budget_share();
     void save_warm_start();
     void load_warm_start(double now);
@@ -112,7 +113,6 @@
     Log& log_;
     TimerQueue timers_;
     WallClock wall_clock_;
-    const double wall_clock_offset_;
     ViolationCounter violations_;
     std::unique_ptr<Balancer> balancer_;
     UpstreamPool pool_;
--- a/src/proxy/server_table.cpp
+++ b/src/proxy/server_table.cpp
@@ -1,11 +1,14 @@
 #include "proxy/server_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace brookrelay {
 namespace {
 
 constexpr double kEarliestStart = 1e-6;  // s, monotonic; 0 would mean that the start is unknown
+constexpr double kListDelay = 0.5;       // s from a change at discovery until its list is applied here
+constexpr double kSameRestore = 0.5;     // s; marks closer together are one, whose file was rebased
 
 int translate_index(const std::vector<std::string>& from, const std::vector<std::string>& to, int index) {
     const auto position = static_cast<std::size_t>(index);
@@ -14,8 +17,8 @@
 
 }  // namespace
 
-ServerTable::ServerTable(const Deployment& deployment, double wall_clock_offset)
-    : deployment_(deployment), wall_clock_offset_(wall_clock_offset) {}
+ServerTable::ServerTable(const Deployment& deployment, double wall_offset)
+    : deployment_(deployment), initial_wall_offset_(wall_offset) {}
 
 int ServerTable::find(const std::string& name) const {
     const auto found = numbers_.find(name);
@@ -37,19 +40,52 @@
 }
 
 void ServerTable::update(int number, const EndpointRecord& record, const AdminState::ServerState& admin_state,
-                         const ClockReading& /*clock*/) {
+                         const ClockReading& clock) {
     Server& server = at(number);
+    const bool was_listed = !server.address.empty();
     server.state = record.state;
-    server.started_at = record.started_at;
+    if (record.started_at > 0 && record.started_at != server.started_at) {
+        server.running_since = estimate_start(record.started_at, was_listed, clock);
+        server.started_at = record.started_at;
+    }
     if (!record.address.empty()) server.address = record.address;
     if (record.zone >= 0) server.zone = record.zone;
     if (record.kind >= 0) server.kind = record.kind;
     if (record.cell >= 0) server.cell = record.cell;
     if (record.weight > 0) server.weight = record.weight;
-    server.admin_state = admin_state;
+    (void)set_admin_state(number, admin_state, clock);
+}
+
+// A start that the list tells is a time of the wall clock, which may have been stepped here, before this
+// process began or since. What a later list tells anew has happened since the list before it: a time outside
+// of that is wrong, and a restart that was seen then counts from now. Of a server that is listed for the
+// first time it is not known whether it is new, so the later of both readings counts.
+double ServerTable::estimate_start(double listed_start, bool is_restart, const ClockReading& clock) const {
+    const double by_clock_now = listed_start - clock.wall_offset;
+    const double by_clock_then = listed_start - initial_wall_offset_;
+    const double latest =
+        std::max(std::min(std::max(by_clock_now, by_clock_then), clock.now), kEarliestStart);
+    if (last_list_at_ == 0) return latest;
+    for (const double start : {by_clock_now, by_clock_then}) {
+        if (start >= last_list_at_ - kListDelay && start <= clock.now) return start;
+    }
+    return is_restart ? clock.now : latest;
 }
 
-void ServerTable::on_list_applied(double /*now*/) {}
+void ServerTable::on_list_applied(double now) { last_list_at_ = now; }
+
+bool ServerTable::set_admin_state(int number, const AdminState::ServerState& state,
+                                  const ClockReading& clock) {
+    Server& server = at(number);
+    const bool is_new = state.drained != server.admin_state.drained ||
+                        std::abs(state.restored_at - server.admin_state.restored_at) >= kSameRestore;
+    server.admin_state = state;
+    if (is_new)
+        server.restored_since = state.restored_at == 0 ? 0
+                                                       : std::clamp(state.restored_at - clock.wall_offset,
+                                                                    kEarliestStart, clock.now);
+    return is_new;
+}
 
 bool ServerTable::is_origin(const Server& server) const {
     return server.kind >= 0 && server.kind == deployment_.origin_kind;
@@ -62,15 +98,14 @@
 
 // A server that an operator restored counts as started then: it was not used meanwhile, and is cold whenever
 // it may have been restarted.
-double ServerTable::started_at(const Server& server) const {
-    return std::max(server.started_at, server.admin_state.restored_at);
+double ServerTable::started_at(const Server& server) {
+    return std::max(server.running_since, server.restored_since);
 }
 
 bool ServerTable::is_cold(int number, double now) const {
     const Server& server = at(number);
     const double started = started_at(server);
-    return started > 0 && !is_origin(server) &&
-           now < started - wall_clock_offset_ + deployment_.slow_start_duration;
+    return started > 0 && !is_origin(server) && now < started + deployment_.slow_start_duration;
 }
 
 Endpoint ServerTable::endpoint(int number) const {
@@ -86,8 +121,7 @@
     endpoint.state = server.admin_state.drained && server.state == EndpointState::ready && !is_origin(server)
                          ? EndpointState::draining
                          : server.state;
-    const double started = started_at(server);
-    if (started > 0) endpoint.started_at = std::max(started - wall_clock_offset_, kEarliestStart);
+    endpoint.started_at = started_at(server);
     return endpoint;
 }
 
--- a/src/proxy/server_table.h
+++ b/src/proxy/server_table.h
@@ -19,6 +19,10 @@
 /// A server as the endpoint list and the operators describe it.
 struct Server : EndpointRecord {
     double removed_at = 0;  // monotonic, s; 0: it is listed
+    // When it started, and when an operator restored it: monotonic, s, as found when the list or the mark was
+    // first seen, whatever the wall clock does later. 0: long ago, or never.
+    double running_since = 0;
+    double restored_since = 0;
     AdminState::ServerState admin_state;
 };
 
@@ -32,8 +36,9 @@
         int kind = -1;
     };
 
-    /// `deployment` must outlive the table. `wall_clock_offset`: wall clock less monotonic clock, s.
-    ServerTable(const Deployment& deployment, double wall_clock_offset);
+    /// `deployment` must outlive the table. `wall_offset`: wall clock less monotonic clock as the process
+    /// started, s.
+    ServerTable(const Deployment& deployment, double wall_offset);
 
     int find(const std::string& name) const;  // kUnknown: there is none
     bool contains(const std::string& name) const { return numbers_.contains(name); }
@@ -48,6 +53,8 @@
                 const ClockReading& clock);
     /// A list from discovery was applied as a whole at `now`: what later ones tell anew has happened since.
     void on_list_applied(double now);
+    /// Takes over an operator's decision. Returns whether it differs from the one known.
+    bool set_admin_state(int number, const AdminState::ServerState& state, const ClockReading& clock);
     bool is_origin(const Server& server) const;
     /// Ready, and not drained by an operator.
     bool accepts_attempts(int number) const;
@@ -68,10 +75,12 @@
                        const std::function<void(int)>& on_evict);
 
   private:
-    double started_at(const Server& server) const;
+    double estimate_start(double listed_start, bool is_restart, const ClockReading& clock) const;
+    static double started_at(const Server& server);
 
     const Deployment& deployment_;
-    const double wall_clock_offset_;
+    const double initial_wall_offset_;
+    double last_list_at_ = 0;  // monotonic, s; 0: discovery has told no list yet
     std::unordered_map<std::string, int> numbers_;
     std::deque<Server> servers_;  // a deque: the balancer holds views of the names while servers are added
     std::vector<int> free_numbers_;
--- a/src/proxy/warm_start_file.h
+++ b/src/proxy/warm_start_file.h
@@ -26,6 +26,8 @@
                                           const std::function<int(const std::string&)>& number_of) const;
 
   private:
+    double age_of(const std::string& text, const ClockReading& clock) const;
+
     std::string path_;
 };
 
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -1,5 +1,5 @@
-// What has to survive kills, full disks and a wall clock that is stepped: the state folder, the warm start and
-// the slow start of servers.
+// What has to survive kills, full disks and a wall clock that is stepped: the state folder, the warm start
+// and the slow start of servers.
 #include <gtest/gtest.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -72,6 +72,7 @@
     void list(double started_at, double step) {
         EndpointRecord record;
         record.name = "s-1";
+        record.address = "127.0.0.1:1";
         record.started_at = started_at;
         table->update(server, record, {}, {now, kTrueOffset + step});
         table->on_list_applied(now);
@@ -94,8 +95,8 @@
 
 // ---- the warm start --------------------------------------------------------------------------------------
 
-// What a process wrote an hour ago says nothing, also where the clock was set back by that hour since; what it
-// wrote just now counts, also where the clock was set on or back meanwhile.
+// What a process wrote an hour ago says nothing, also where the clock was set back by that hour since; what
+// it wrote just now counts, also where the clock was set on or back meanwhile.
 TEST(WarmStart, CountsByItsRealAge) {
     const Folder folder;
     const WarmStartFile file(folder.at("learned"));
