--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -371,6 +371,13 @@
     balancer_->on_client_closed(now, request);
 }
 
+// Collecting a streamed response delays its first bytes, by which the client judges it: so for at most half
+// of the time that is left to the latency objective.
+double Node::collect_until(const ActiveRequest& active, double now) {
+    const double due = std::min(active.deadline, active.received_at + active.operation.latency_objective);
+    return now + std::max(0.0, due - now) / 2;
+}
+
 void Node::on_attempt_finished(double now, UpstreamPool::AttemptResult& result) {
     if (result.request == UpstreamPool::kHealthCheck)
         return balancer_->on_health_check(now, result.server, result.outcome, result.latency);
@@ -383,7 +390,7 @@
         action_queue_.emplace_back([this, client = active.client, stream = result.stream,
                                     head = format_value_header(active.command.id, result.stream_length),
                                     length = result.stream_length,
-                                    collect_until = now + (active.deadline - now) / 2]() mutable {
+                                    collect_until = collect_until(active, now)]() mutable {
             streams_.emplace(stream, client);
             clients_.begin_stream(client, std::move(head), stream, length, collect_until);
         });
