--- a/src/audit/auditor.h
+++ b/src/audit/auditor.h
@@ -44,6 +44,8 @@
     // Servers. Attempts are numbered up from 0 over all servers. `request` -1: it names none that was sent.
     // `work`: what it costs the server, in seconds of one of its cores.
     void on_attempt(double first_byte, double last_byte, int attempt, int request, int server, double work);
+    // What the attempt told its server of the time that its client waits, in seconds from its first byte.
+    void on_told_deadline(int attempt, double seconds);
     void on_effect(double now, int attempt);
     void on_duplicate_dropped(double now, int attempt);  // recognized, and answered as the first time
     void on_attempt_finished(double now, int attempt, Outcome outcome);
@@ -95,6 +97,7 @@
     void check_response(double now, int request, int attempt);
     void check_rejection(double now, int request);
     void check_attempt(int attempt);
+    void check_client_presence(int attempt);
     void check_endpoint_state(int attempt);
     void check_retry(int attempt);
     bool check_retry_after(int attempt, int earlier_attempt);
--- a/src/audit/rules.cpp
+++ b/src/audit/rules.cpp
@@ -11,6 +11,8 @@
 
 constexpr double kMinNotifiedWork = 2.0 / 3.0;  // of an overload, from nodes that knew of the start: rule 4
 constexpr double kMinColdMissWork = 1.0 / 3.0;  // of what overloaded the origin: rule 4
+constexpr double kClientGoneGrace = 0.1;        // s after its client left in which an attempt may begin
+constexpr double kToldDeadlineSlack = 0.15;     // s that a server may be told more than is left
 constexpr double kLimitBurst = 1.25;  // a fleet limit, and the quarter of a second's tokens saved up: rule 5
 constexpr double kLimitWindow = 1.0;  // seconds
 
@@ -85,10 +87,34 @@
                attempt_text(attempt) + " was sent " + duration_text(record.first_byte - request.ended_at) +
                    " after the final answer");
     }
+    check_client_presence(attempt);
     check_endpoint_state(attempt);
     check_retry(attempt);
 }
 
+// Hostile clients only seem to leave: they are taken for gone from the start, so that nothing is owed to
+// them.
+void Auditor::check_client_presence(int attempt) {
+    const AttemptRecord& record = history_.attempts[index(attempt)];
+    const RequestRecord& request = history_.requests[index(record.request)];
+    if (request.end != RequestEnd::client_closed || !request.info.is_counted) return;
+    const double late = record.last_byte - request.ended_at;
+    if (late <= kClientGoneGrace + history_.terms.slack || is_lost_with_node(request)) return;
+    report(1, record.request, record.last_byte, request.ended_at,
+           attempt_text(attempt) + " began " + duration_text(late) + " after its client had left");
+}
+
+void Auditor::on_told_deadline(int attempt, double seconds) {
+    const AttemptRecord& record = history_.attempts[index(attempt)];
+    if (record.request < 0 || index(record.request) >= history_.requests.size()) return;
+    const RequestRecord& request = history_.requests[index(record.request)];
+    const double left = request.received_at + request.info.timeout - record.first_byte;
+    if (seconds <= left + kToldDeadlineSlack + history_.terms.slack) return;
+    report(1, record.request, record.first_byte, request.received_at,
+           attempt_text(attempt) + " told its server " + duration_text(seconds) + ", and its client had " +
+               duration_text(left) + " left");
+}
+
 // ---- rule 2: no effect twice -----------------------------------------------------------------------------
 
 // Whether an attempt that reached its server may have had its effect by `at`, or may still have it.
--- a/src/cli/rehearse.cpp
+++ b/src/cli/rehearse.cpp
@@ -37,7 +37,9 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-std::string new_folder(const std::string& requested, const std::string& scenario) {
+}  // namespace
+
+std::string new_report_folder(const std::string& requested, const std::string& name) {
     if (!requested.empty()) {
         fs::create_directories(requested);
         return requested;
@@ -45,14 +47,12 @@
     char stamp[32];
     const std::time_t now = std::time(nullptr);
     std::strftime(stamp, sizeof stamp, "%Y%m%dT%H%M%S", std::localtime(&now));
-    const std::string base = "rehearsals/" + fs::path(scenario).stem().string() + "-" + stamp;
+    const std::string base = "rehearsals/" + fs::path(name).stem().string() + "-" + stamp;
     std::string folder = base;
     for (int i = 2; !fs::create_directories(folder); ++i) folder = base + "-" + std::to_string(i);
     return folder;
 }
 
-}  // namespace
-
 std::string own_program() { return fs::read_symlink("/proc/self/exe").string(); }
 
 std::string find_scenario(const std::string& named) {
@@ -91,7 +91,7 @@
     testkit::DayPlan plan = plan_of(path, options.sets);
     plan.seed = seed;
     plan.program = program;
-    plan.folder = new_folder(options.out, path);
+    plan.folder = new_report_folder(options.out, path);
     const bool terminal = isatty(2) != 0;
     if (!options.quiet) {
         plan.progress = [terminal](double now, const std::string& line) {
@@ -118,7 +118,7 @@
     plan.daemons = daemons;
     plan.seeds = seeds;
     plan.sweeps = std::move(sweeps);
-    plan.folder = new_folder(options.out, path);
+    plan.folder = new_report_folder(options.out, path);
     plan.jobs = options.jobs;
     plan.interrupted = [] { return interruptions.load() > 0; };
     if (!options.quiet) {
@@ -188,7 +188,7 @@
 int measure_load(const LoadOptions& options) {
     const std::vector<std::string> daemons =
         options.daemons.empty() ? std::vector{own_program()} : options.daemons;
-    const std::string folder = new_folder("", "load");
+    const std::string folder = new_report_folder("", "load");
     int code = kDone;
     for (int round = 0; round < options.rounds; ++round) {
         for (const int clients : options.clients) {
--- a/src/cli/rehearse.h
+++ b/src/cli/rehearse.h
@@ -36,6 +36,9 @@
 
 // The file of a scenario given by path or by name; empty if there is none.
 std::string find_scenario(const std::string& named);
+// The folder for the logs and reports of a run, which is made: `requested`, or else a new one below
+// rehearsals/.
+std::string new_report_folder(const std::string& requested, const std::string& name);
 // The path of this executable.
 std::string own_program();
 
--- a/src/config/scenario.h
+++ b/src/config/scenario.h
@@ -127,6 +127,10 @@
     bool one_way = false;
     double delay = 0;   // s
     double origin = 0;  // the fleet's limit from then on, as the struck nodes are told
+    // Of reloads, by the soak alone: how many in quick succession, and whether they list the operations in
+    // another order and one more.
+    int repeats = 1;
+    bool rotates_operations = false;
 };
 
 struct Scenario {
--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t kMaxTextBytes = 300;
 constexpr std::array<const char*, static_cast<std::size_t>(Topic::count)> kTopics{
-    "node", "client", "cache", "origin", "discovery", "policy"};
+    "node", "client", "cache", "origin", "discovery", "policy", "guard"};
 
 // The text may contain bytes from clients and servers, which must not be able to forge a line or break the
 // JSON.
--- a/src/io/log.h
+++ b/src/io/log.h
@@ -18,7 +18,7 @@
 namespace brookrelay {
 
 /// What a line is about; `count` is the number of topics.
-enum class Topic { node, client, cache, origin, discovery, policy, count };
+enum class Topic { node, client, cache, origin, discovery, policy, guard, count };
 
 /// Writes rate-limited log lines.
 class Log {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,6 +13,7 @@
 #include "cli/fleet_commands.h"
 #include "cli/registry_watch.h"
 #include "cli/rehearse.h"
+#include "cli/soak.h"
 #include "config/toml.h"
 #include "proxy/serve.h"
 #include "util/exit_codes.h"
@@ -46,6 +47,7 @@
     std::string file_to_check;
     brookrelay::RehearseOptions rehearse;
     brookrelay::LoadOptions load;
+    brookrelay::SoakCommandOptions soak;
     brookrelay::RegistryWatchOptions registry_watch;
     brookrelay::CheckModelOptions check_model;
     brookrelay::FleetOptions fleet;
@@ -85,6 +87,23 @@
     load->callback([&line] { line.run = [&line] { return brookrelay::measure_load(line.load); }; });
 }
 
+void add_soak(CLI::App& rehearse, CommandLine& line) {
+    brookrelay::SoakCommandOptions& options = line.soak;
+    CLI::App* soak = rehearse.add_subcommand(
+        "soak",
+        "days of many daemons with faults drawn from a seed, that overlap; each failing one is printed");
+    soak->add_option("--seeds", options.seeds, "3, 1..200 or 1,4,9")->capture_default_str();
+    soak->add_option("--minutes", options.minutes, "no seed begins later")->check(CLI::PositiveNumber);
+    soak->add_option("--jobs", options.jobs, "days at the same time")->check(CLI::Range(1, 16));
+    soak->add_option("--nodes", options.nodes, "daemons of a day")->check(CLI::Range(2, 40));
+    soak->add_option("--daemon", options.daemon, "the program, this one if left out");
+    soak->add_option("--drop", options.dropped, "numbers of faults that are left out")->delimiter(',');
+    soak->add_flag("--without-shim", options.without_shim, "no steps of the clock, no failing system calls");
+    soak->add_flag("--shrink", options.shrink, "play a failing seed again without some of its faults");
+    soak->add_option("--out", options.out, "the folder for logs; a new one below rehearsals/ if left out");
+    soak->callback([&line] { line.run = [&line] { return brookrelay::soak(line.soak); }; });
+}
+
 void add_rehearse(CLI::App& app, CommandLine& line) {
     brookrelay::RehearseOptions& options = line.rehearse;
     CLI::App* rehearse =
@@ -104,6 +123,7 @@
                          "the folder for logs and reports; a new one below rehearsals/ if left out");
     rehearse->add_flag("--quiet", options.quiet, "no progress");
     add_load(*rehearse, line);
+    add_soak(*rehearse, line);
     // The callback of a subcommand runs before that of its parent.
     rehearse->callback([&line] {
         if (!line.run) line.run = [&line] { return brookrelay::rehearse(line.rehearse); };
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -81,7 +81,7 @@
       operator_config_(operator_config),
       log_(log),
       violations_([this](Violation kind, std::string_view details) {
-          log_.line(Topic::node, "violation",
+          log_.line(Topic::guard, "violation",
                     "rule broken: " + std::string(name_of(kind)) + ", " + std::string(details));
       }),
       balancer_(make_balancer(config.deployment, config.seed, *this)),
--- a/src/testkit/fake_cache_server.cpp
+++ b/src/testkit/fake_cache_server.cpp
@@ -114,6 +114,7 @@
     p.handshake = 0;
     meter_.offered(now, work);
     environment_.auditor.on_attempt(first_byte, now, forward, sound ? inv : -1, number_, work);
+    if (sound) environment_.auditor.on_told_deadline(forward, command.properties.wait);
     if (!sound) {
         environment_.auditor.on_attempt_finished(now, forward, audit::Outcome::failed);
         p.conn->write("CLIENT_ERROR what no client sent\r\n");
--- a/src/testkit/fake_origin_server.cpp
+++ b/src/testkit/fake_origin_server.cpp
@@ -76,6 +76,7 @@
     ++(job.write ? counts_.writes : counts_.reads);
     meter_.offered(now, work);
     environment_.auditor.on_attempt(first_byte, now, forward, sound ? job.inv : -1, number_, work);
+    if (sound) environment_.auditor.on_told_deadline(forward, properties.wait);
     p.answers.emplace_back(forward, "");
     if (!sound) {
         environment_.auditor.on_attempt_finished(now, forward, audit::Outcome::failed);
--- a/src/testkit/load_clients.cpp
+++ b/src/testkit/load_clients.cpp
@@ -4,6 +4,8 @@
 #include <boost/random/uniform_01.hpp>
 #include <cmath>
 
+#include "testkit/client_reply.h"
+
 namespace brookrelay::testkit {
 namespace {
 
@@ -49,6 +51,14 @@
 
 void LoadClients::front_uses(int node, bool yes) { nodes_[static_cast<std::size_t>(node)].used = yes; }
 
+std::vector<std::pair<int, Tcp::endpoint>> LoadClients::used_nodes() const {
+    std::vector<std::pair<int, Tcp::endpoint>> used;
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+        if (nodes_[n].used) used.emplace_back(static_cast<int>(n), nodes_[n].where);
+    }
+    return used;
+}
+
 void LoadClients::begin(double day) {
     begun_ = day;
     next_arrival();
@@ -194,27 +204,10 @@
         const std::size_t taken = read_heard(conn.input(), heard);
         if (taken == 0) return;
         const double now = environment_.now();
-        int inv = -1;
-        const bool ours = heard.id.empty() || (read_id(heard.id, environment_.day, inv) && inv == line->inv);
-        audit::Reply reply = audit::Reply::failed;
-        int forward = -1;
-        double advice = 0;
-        if (heard.kind == Heard::Kind::value) {
-            reply = audit::Reply::succeeded;
-            Value value;
-            if (ours && !heard.id.empty() && read_value(heard.body, value) &&
-                value.key == line->user.plan->key) {
-                forward = value.forward;
-            }
-        } else if (heard.kind == Heard::Kind::receipt) {
-            reply = audit::Reply::succeeded;
-            Value value;
-            const std::string as_value = std::string(heard.body) + ";v0;k0;";
-            if (ours && !heard.id.empty() && read_value(as_value, value)) forward = value.forward;
-        } else if (heard.kind == Heard::Kind::busy) {
-            reply = audit::Reply::rejected;
-            advice = heard.advice;
-        }
+        const ClientReply answer = classify_reply(heard, environment_.day, line->inv, line->user.plan->key);
+        const audit::Reply reply = answer.kind;
+        const int forward = answer.attempt;
+        const double advice = answer.advice;
         conn.take(taken);
         environment_.auditor.on_response(now, line->inv, reply, forward);
         if (!line->busy) continue;  // an answer nobody waits for: the judge has it
--- a/src/testkit/load_clients.h
+++ b/src/testkit/load_clients.h
@@ -29,6 +29,11 @@
     bool all_over() const { return next_ >= schedule_.size() && open_ == 0 && waiting_ == 0; }
     void stop();  // sends no further requests
 
+    // For other clients of the run: numbers that no request or user of these has, and where to connect.
+    int next_request() { return last_inv_++; }
+    int next_user() { return last_user_++; }
+    std::vector<std::pair<int, Tcp::endpoint>> used_nodes() const;
+
     // Faults: slow writers and slow readers, whose requests are not counted.
     void trickle(int node, int count, double until);
     void never_read(int node, int count, double until);
--- a/src/testkit/rehearsal.cpp
+++ b/src/testkit/rehearsal.cpp
@@ -102,6 +102,7 @@
         plan_.begun(all, managements);
     }
     clients_->begin(started_at_);
+    if (plan_.mannered_clients > 0) start_mannered_clients();
     for (const Trouble& t : scenario_.troubles)
         environment_.at(started_at_ + t.at, [this, &t] { inject_fault(t); });
     forwards_before_.assign(caches_.size() + 1, 0);
@@ -113,6 +114,21 @@
     environment_.at(started_at_ + scenario_.length, [this] { check_finished(); });
 }
 
+void ScenarioRun::start_mannered_clients() {
+    mannered_clients_ = std::make_unique<ManneredClients>(
+        environment_,
+        ManneredClients::Numbering{[this] { return clients_->next_request(); },
+                                   [this] { return clients_->next_user(); }},
+        plan_.seed);
+    std::size_t turn = 0;
+    const auto pick = [this, turn]() mutable -> std::optional<std::pair<int, Tcp::endpoint>> {
+        const auto used = clients_->used_nodes();
+        if (used.empty()) return std::nullopt;
+        return used[turn++ % used.size()];
+    };
+    mannered_clients_->start(plan_.mannered_clients, pick, started_at_ + scenario_.length);
+}
+
 // The day is over once whoever asked has been answered, or has waited as long as anyone waits.
 void ScenarioRun::check_finished() {
     double longest = 0;
@@ -150,6 +166,7 @@
             nodes_[index(n)].talk = {network_->peer_listen(n), {}, network_->peers()};
             assign_admin_address(n);
         }
+        if (plan_.state_folders) place.tmp = plan_.folder;
         if (plan_.environment) place.environment = plan_.environment(n);
         nodes_[index(n)].daemon = std::make_unique<DaemonProcess>(std::move(place));
         assign_address(
@@ -169,6 +186,10 @@
     listen_for_end();
     io_.run();
     ended_ = true;
+    if (mannered_clients_ != nullptr) {
+        mannered_clients_->stop();
+        result_.complaints = mannered_clients_->complaints();
+    }
     clients_->stop();
     const double now = environment_.now();
     result_.length = has_started_ ? std::max(0.0, run_time(now)) : 0;
--- a/src/testkit/rehearsal.h
+++ b/src/testkit/rehearsal.h
@@ -25,6 +25,8 @@
     std::function<void(double now, const std::string& line)> progress;  // about once a second; may be empty
     std::function<bool()> interrupted;                                  // may be empty
     std::function<std::vector<std::string>(int node)> environment;  // NAME=VALUE for its daemon; may be empty
+    int mannered_clients = 0;    // beside the planned load: see mannered_clients.h
+    bool state_folders = false;  // daemons keep a state folder below `folder`
     // May be empty; as the day begins: where nodes that talk listen for peers, and for operators.
     std::function<void(const std::vector<std::string>& peer_listens,
                        const std::vector<std::string>& managements)>
@@ -74,8 +76,9 @@
     std::vector<FleetView> views;
     std::uint64_t peer_bytes = 0, peer_datagrams = 0;  // that nodes sent one another
     double daemon_cpu = 0, daemon_rss_mb = 0;
-    int daemon_descriptors = 0;  // the most that one held
-    int crashes = 0;             // daemons that ended by themselves
+    int daemon_descriptors = 0;           // the most that one held
+    int crashes = 0;                      // daemons that ended by themselves
+    std::vector<std::string> complaints;  // of mannered clients
 };
 
 DayResult play_day(const DayPlan& plan);
--- a/src/testkit/run_faults.cpp
+++ b/src/testkit/run_faults.cpp
@@ -1,4 +1,5 @@
 // Injects the faults of a scenario at their times.
+#include <algorithm>
 #include <csignal>
 #include <set>
 
@@ -13,6 +14,7 @@
 constexpr double kDefaultRemovalDelay = 2.0;    // seconds from draining to removed
 constexpr double kDefaultServerDowntime = 2.0;  // seconds
 constexpr double kBrokenFileDuration = 1.0;     // seconds for which a broken configuration file is in place
+constexpr double kReloadInterval = 0.06;        // seconds between reloads in quick succession
 constexpr double kDefaultStarvedRatio = 0.8;    // part of the time for which a starved node is stopped
 
 std::vector<int> affected_nodes(const Trouble& t) {
@@ -71,6 +73,22 @@
     }
 }
 
+// Each turn of a rotating reload lists the operations in another order, and one more that nobody uses.
+void ScenarioRun::reload_node(const Trouble& t, int turn) {
+    if (ended_ || turn >= t.repeats) return;
+    Node& n = nodes_[index(t.node)];
+    Scenario changed = scenario_;
+    if (t.rotates_operations && turn % 2 == 0) {
+        std::rotate(changed.operations.begin(), changed.operations.begin() + 1, changed.operations.end());
+        changed.operations.push_back(changed.operations.front());
+        changed.operations.back().name = "unused-" + std::to_string(turn);
+    }
+    n.daemon->configure(station_json(changed, t.node, n.listen, discovery_->agent(t.node),
+                                     discovery_->whole_list(t.node), 77, n.talk));
+    n.daemon->signal(SIGHUP);
+    environment_.at(environment_.now() + kReloadInterval, [this, &t, turn] { reload_node(t, turn + 1); });
+}
+
 // NOLINTNEXTLINE(readability-function-cognitive-complexity,readability-function-size): see ROADMAP
 void ScenarioRun::inject_fault(const Trouble& t) {
     if (ended_) return;
@@ -156,16 +174,17 @@
             if (network_ != nullptr) network_->strike(t, until);
             break;
         case TroubleKind::reload:
+            text += " " + std::to_string(t.node);
+            reload_node(t, 0);
+            break;
         case TroubleKind::reload_bad: {
             Node& n = nodes_[index(t.node)];
             text += " " + std::to_string(t.node);
             const std::string good = configuration(t.node, 77);
-            n.daemon->configure(t.kind == TroubleKind::reload ? good : good.substr(0, good.size() / 2));
+            n.daemon->configure(good.substr(0, good.size() / 2));
             n.daemon->signal(SIGHUP);
-            if (t.kind == TroubleKind::reload_bad) {
-                environment_.at(environment_.now() + kBrokenFileDuration,
-                                [&n, good] { n.daemon->configure(good); });
-            }
+            environment_.at(environment_.now() + kBrokenFileDuration,
+                            [&n, good] { n.daemon->configure(good); });
             break;
         }
         case TroubleKind::tricklers:
--- a/src/testkit/scenario_run.h
+++ b/src/testkit/scenario_run.h
@@ -14,6 +14,7 @@
 #include "testkit/fake_origin_server.h"
 #include "testkit/fault_schedule.h"
 #include "testkit/load_clients.h"
+#include "testkit/mannered_clients.h"
 #include "testkit/network_fault_proxy.h"
 #include "testkit/rehearsal.h"
 
@@ -46,6 +47,7 @@
     void begin();
     void check_finished();
     void fail(const std::string& why);
+    void start_mannered_clients();
     FakeCacheServer* server(const std::string& name);
     bool interrupted() const { return plan_.interrupted && plan_.interrupted(); }
     void mark(const std::string& text) { result_.marks.emplace_back(clock_.now() - started_at_, text); }
@@ -56,6 +58,7 @@
     void assign_address(int node, unsigned short port);
     void assign_admin_address(int node);
     std::string configuration(int node, std::uint64_t seed) const;
+    void reload_node(const Trouble& t, int turn);
     std::string operator_path(int node) const {
         return plan_.folder + "/operator-n" + std::to_string(node) + ".toml";
     }
@@ -93,6 +96,7 @@
     std::unique_ptr<FakeDiscoveryServer> discovery_;
     std::unique_ptr<NetworkFaultProxy> network_;  // in runs with gossip or network cuts
     std::unique_ptr<LoadClients> clients_;
+    std::unique_ptr<ManneredClients> mannered_clients_;
     std::vector<Node> nodes_;
     double started_at_ = 0;
     bool has_started_ = false, ended_ = false;
--- /dev/null
+++ b/src/testkit/soak.cpp
@@ -0,0 +1,291 @@
+#include "testkit/soak.h"
+
+#include <algorithm>
+#include <boost/random/mersenne_twister.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include "testkit/fault_schedule.h"
+
+namespace brookrelay::testkit {
+namespace {
+
+constexpr double kDayLength = 11.0;
+constexpr double kFirstFault = 1.0;      // s after the day's start
+constexpr double kLastFault = 8.5;       // no fault begins later, so that each has time to show
+constexpr double kQuietStart = 5.0;      // of days on which trouble begins after a quiet time
+constexpr double kQuietProbability = 0.2;
+constexpr double kNodeStartup = 1.0;     // s from the start of a process to the day's, about
+constexpr int kMemoryMegabytes = 96;
+constexpr int kDescriptors = 256;
+constexpr int kClientsPerNode = 3;
+constexpr std::size_t kMaxFailures = 12;
+
+// All chance of one day. Boost's generator draws the same numbers on every machine.
+class Chance {
+  public:
+    explicit Chance(std::uint64_t seed) : engine_(seed * 6364136223846793005ULL + 1442695040888963407ULL) {}
+    double unit() { return static_cast<double>(engine_() >> 11) / 9007199254740992.0; }
+    double between(double least, double most) { return least + (most - least) * unit(); }
+    int whole(int least, int most) { return least + static_cast<int>(unit() * (most - least + 1)); }
+    bool is(double probability) { return unit() < probability; }
+
+  private:
+    boost::random::mt19937_64 engine_;
+};
+
+OperationPlan read_operation(Chance& chance) {
+    OperationPlan read;
+    read.name = "read";
+    read.share = 8;
+    read.work = 2e-3;
+    read.origin_work = 6e-3;
+    read.value_bytes = chance.is(0.3) ? 90 * 1000 : 200;  // over 64 KiB it is streamed
+    read.promised.client_timeout = chance.between(0.5, 1.5);
+    read.promised.latency_objective = read.promised.client_timeout / 2;
+    read.promised.late_value_ratio = 0.2;
+    return read;
+}
+
+OperationPlan keyed_write(Chance& chance) {
+    OperationPlan submit;
+    submit.name = "submit";
+    submit.write = true;
+    submit.share = 1.5;
+    submit.origin_work = 6e-3;
+    submit.promised.idempotency = Idempotency::idempotency_key;
+    submit.promised.deduplication_window = chance.between(1.2, 3);
+    submit.promised.client_timeout = chance.between(0.8, 1.9);
+    submit.promised.latency_objective = submit.promised.client_timeout / 2;
+    return submit;
+}
+
+OperationPlan single_write(Chance& chance) {
+    OperationPlan once = keyed_write(chance);
+    once.name = "once";
+    once.share = 0.5;
+    once.promised.idempotency = Idempotency::none;
+    once.promised.deduplication_window = 0;
+    return once;
+}
+
+Scenario draw_fleet(Chance& chance, int nodes) {
+    Scenario s;
+    s.name = "soak";
+    s.length = kDayLength;
+    s.count_from = 0.5;
+    s.nodes = nodes;
+    s.zones.clear();
+    const int zones = chance.whole(1, 3);
+    for (int z = 0; z < zones; ++z) s.zones.push_back("room-" + std::string(1, static_cast<char>('a' + z)));
+    ServerKind box;
+    box.count = chance.whole(6, 10);
+    box.slots = 4;
+    box.connections = chance.is(0.3) ? 40 : 400;
+    box.warm_after = 3;
+    s.kinds = {box};
+    s.warm_within = 4;
+    s.fall_time = 1.0;
+    s.origin.slots = 12;
+    s.discovery_asked = chance.is(0.3);
+    s.ask_every = 4;
+    s.discovery_lag = chance.between(0.05, 0.6);
+    s.node_memory_mb = kMemoryMegabytes;
+    s.node_descriptors = kDescriptors;
+    s.connect_timeout = chance.is(0.5) ? 0.25 : 0.6;
+    s.connection_idle = chance.is(0.5) ? 1.5 : 15;
+    s.operations = {read_operation(chance), keyed_write(chance), single_write(chance)};
+    s.clients.rate = 8.0 * nodes;
+    s.clients.leave = 0.06;
+    s.clients.front_notices = 0.6;
+    s.keys.count = 2000;
+    s.keys.skew = 0.6;
+    return s;
+}
+
+// One of the faults that strike servers, discovery, the links or the nodes.
+Trouble draw_fault(Chance& chance, const Scenario& s, double at) {
+    static constexpr TroubleKind kKinds[] = {
+        TroubleKind::silent,         TroubleKind::slow,          TroubleKind::cold_return,
+        TroubleKind::crash,          TroubleKind::drain,         TroubleKind::remove,
+        TroubleKind::spoilt,         TroubleKind::origin_slow,   TroubleKind::origin_stop,
+        TroubleKind::discovery_down, TroubleKind::discovery_stale, TroubleKind::list_late,
+        TroubleKind::node_kill,      TroubleKind::node_restart,  TroubleKind::node_restart,
+        TroubleKind::reload,         TroubleKind::reload,        TroubleKind::reload_bad,
+        TroubleKind::freeze,         TroubleKind::tricklers,     TroubleKind::non_readers,
+        TroubleKind::cut,            TroubleKind::void_copies};
+    constexpr int kCount = static_cast<int>(std::size(kKinds));
+    Trouble t;
+    t.kind = kKinds[chance.whole(0, kCount - 1)];
+    t.at = at;
+    t.lasts = chance.between(0.2, 3.0);
+    t.factor = chance.between(5, 60);
+    t.part = chance.between(0.1, 0.6);
+    t.count = chance.whole(2, 8);
+    t.node = chance.whole(0, s.nodes - 1);
+    const int struck = chance.whole(1, std::max(1, s.nodes / 3));
+    for (int n = 0; n < s.nodes && static_cast<int>(t.nodes.size()) < struck; ++n) {
+        if (chance.is(0.4)) t.nodes.push_back(n);
+    }
+    if (t.nodes.empty()) t.nodes = {t.node};
+    const int servers = static_cast<int>(s.server_names().size()) - 1;
+    for (int i = 0, count = chance.whole(1, 2); i < count; ++i) {
+        const std::string name = s.server_names()[static_cast<std::size_t>(chance.whole(0, servers - 1))];
+        if (std::find(t.who.begin(), t.who.end(), name) == t.who.end()) t.who.push_back(name);
+    }
+    t.from = {s.zones[static_cast<std::size_t>(chance.whole(0, static_cast<int>(s.zones.size()) - 1))]};
+    t.one_way = chance.is(0.4);
+    if (t.kind == TroubleKind::freeze && chance.is(0.6)) t.lasts = chance.between(0.02, 0.15);
+    if (t.kind == TroubleKind::reload) {
+        t.repeats = chance.whole(1, 4);
+        t.rotates_operations = chance.is(0.6);
+    }
+    if (t.kind == TroubleKind::node_kill) t.lasts = chance.between(0.1, 1.0);
+    return t;
+}
+
+// Bursts of two or three faults that overlap in time.
+void draw_faults(Chance& chance, Scenario& s) {
+    double at = chance.is(kQuietProbability) ? kQuietStart : chance.between(kFirstFault, 2.0);
+    while (at < kLastFault) {
+        const int together = chance.whole(2, 3);
+        for (int i = 0; i < together; ++i)
+            s.troubles.push_back(draw_fault(chance, s, at + chance.between(0, 0.4)));
+        at += chance.between(1.2, 3.0);
+    }
+}
+
+std::string decimal(double number) {
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", number);
+    return text;
+}
+
+std::string window(Chance& chance, double probability) {
+    const double from = kNodeStartup + chance.between(0, 8);
+    return decimal(from) + ":" + decimal(from + chance.between(0.1, 1.5)) + ":" + decimal(probability);
+}
+
+// Each node's shim strikes on its own; about half of the nodes have one.
+std::vector<std::string> draw_environment(Chance& chance, std::uint64_t seed, int node,
+                                          const SoakOptions& options) {
+    const bool steps_clock = chance.is(0.35), fails_calls = chance.is(0.35), fails_disk = chance.is(0.35);
+    static constexpr double kSteps[] = {3600, -3600, 4, -4, 90};
+    const double step = kSteps[chance.whole(0, 4)];
+    const std::string clock = decimal(kNodeStartup + chance.between(0, 8)) + ":" + decimal(step);
+    const std::string calls = window(chance, chance.between(0.01, 0.08));
+    const std::string disk = window(chance, chance.between(0.2, 1.0));
+    if (!options.with_shim || options.shim.empty()) return {};
+    std::vector<std::string> environment{
+        "LD_PRELOAD=" + options.shim,
+        "FAULT_SHIM_SEED=" + std::to_string(seed * 100 + static_cast<std::uint64_t>(node))};
+    if (steps_clock) environment.push_back("FAULT_SHIM_CLOCK=" + clock);
+    if (fails_calls) environment.push_back("FAULT_SHIM_CALLS=" + calls);
+    if (fails_disk) environment.push_back("FAULT_SHIM_DISK=" + disk);
+    return environment;
+}
+
+std::string fault_text(std::size_t number, const Trouble& t) {
+    std::string text = std::to_string(number) + ": " + decimal(t.at) + " s " +
+                       trouble_words()[static_cast<std::size_t>(t.kind)] + " for " + decimal(t.lasts) + " s";
+    for (const std::string& who : t.who) text += " " + who;
+    for (const int node : t.nodes) text += " n" + std::to_string(node);
+    return text;
+}
+
+// What the daemons themselves counted as broken, and how they ended.
+void read_logs(const DayPlan& plan, std::vector<std::string>& failures) {
+    for (int node = 0; node < plan.scenario.nodes; ++node) {
+        std::ifstream log(plan.folder + "/n" + std::to_string(node) + ".log");
+        for (std::string line; std::getline(log, line);) {
+            if (line.find("rule broken: ") != std::string::npos && failures.size() < kMaxFailures)
+                failures.push_back("guard: " + line);
+        }
+    }
+}
+
+void judge(const DayPlan& plan, const DayResult& day, SoakResult& result) {
+    if (!day.failed.empty()) result.failures.push_back("not played: " + day.failed);
+    for (const audit::Violation& v : day.verdict.violations) {
+        if (result.failures.size() < kMaxFailures)
+            result.failures.push_back("rule " + std::to_string(v.rule) + " at " + decimal(v.at) + " s: " + v.what);
+    }
+    for (const std::string& complaint : day.complaints) {
+        if (result.failures.size() < kMaxFailures) result.failures.push_back("client: " + complaint);
+    }
+    if (day.crashes > 0) result.failures.push_back(std::to_string(day.crashes) + " daemons ended by themselves");
+    if (day.daemon_descriptors > plan.scenario.node_descriptors)
+        result.failures.push_back("a daemon held " + std::to_string(day.daemon_descriptors) + " descriptors of " +
+                                  std::to_string(plan.scenario.node_descriptors));
+    if (day.daemon_rss_mb > plan.scenario.node_memory_mb)
+        result.failures.push_back("a daemon held " + decimal(day.daemon_rss_mb) + " MB of " +
+                                  std::to_string(plan.scenario.node_memory_mb));
+    read_logs(plan, result.failures);
+    result.is_void = day.verdict.is_void && result.failures.empty();
+    result.void_reason = day.verdict.void_reason;
+    result.requests = day.verdict.requests;
+    result.attempts = day.verdict.attempts;
+    result.served_ratio = day.verdict.total.ratio();
+}
+
+}  // namespace
+
+SoakDay draw_soak_day(std::uint64_t seed, const SoakOptions& options) {
+    Chance chance(seed);
+    SoakDay day;
+    day.scenario = draw_fleet(chance, options.nodes);
+    draw_faults(chance, day.scenario);
+    for (int node = 0; node < options.nodes; ++node)
+        day.node_environment.push_back(draw_environment(chance, seed, node, options));
+    day.mannered_clients = kClientsPerNode * options.nodes;
+    return day;
+}
+
+SoakResult play_soak(std::uint64_t seed, const SoakOptions& options) {
+    SoakDay day = draw_soak_day(seed, options);
+    SoakResult result;
+    result.seed = seed;
+    std::vector<Trouble> kept;
+    for (std::size_t i = 0; i < day.scenario.troubles.size(); ++i) {
+        const auto& dropped = options.dropped_faults;
+        result.faults.push_back(fault_text(i, day.scenario.troubles[i]));
+        if (std::find(dropped.begin(), dropped.end(), static_cast<int>(i)) == dropped.end())
+            kept.push_back(day.scenario.troubles[i]);
+    }
+    day.scenario.troubles = std::move(kept);
+    DayPlan plan;
+    plan.scenario = day.scenario;
+    plan.seed = seed;
+    plan.program = options.program;
+    plan.folder = options.folder;
+    plan.interrupted = options.interrupted;
+    plan.mannered_clients = day.mannered_clients;
+    plan.state_folders = true;
+    plan.environment = [&day](int node) { return day.node_environment[static_cast<std::size_t>(node)]; };
+    judge(plan, play_day(plan), result);
+    return result;
+}
+
+SoakOptions shrink_soak(std::uint64_t seed, const SoakOptions& options, int plays) {
+    SoakOptions smallest = options;
+    const std::size_t faults = draw_soak_day(seed, options).scenario.troubles.size();
+    const auto still_fails = [&](const SoakOptions& tried) {
+        std::filesystem::remove_all(tried.folder);
+        std::filesystem::create_directories(tried.folder);
+        return plays-- > 0 && play_soak(seed, tried).has_failed();
+    };
+    for (std::size_t i = 0; i < faults && plays > 0; ++i) {
+        SoakOptions tried = smallest;
+        tried.dropped_faults.push_back(static_cast<int>(i));
+        if (still_fails(tried)) smallest = tried;
+    }
+    if (smallest.with_shim) {
+        SoakOptions tried = smallest;
+        tried.with_shim = false;
+        if (still_fails(tried)) smallest = tried;
+    }
+    return smallest;
+}
+
+}  // namespace brookrelay::testkit
