--- a/src/testkit/client_reply.h
+++ b/src/testkit/client_reply.h
@@ -1,4 +1,5 @@
-// What a client makes of one response of a node: the kind that the auditor is told, and the attempt that made it.
+// What a client makes of one response of a node: the kind that the auditor is told, and the attempt that made
+// it.
 #pragma once
 
 #include <cstdint>
--- a/src/testkit/mannered_clients.cpp
+++ b/src/testkit/mannered_clients.cpp
@@ -12,7 +12,18 @@
 namespace brookrelay::testkit {
 namespace {
 
-enum class Manner { pipelines, in_pieces, half_command, half_value, rests, leaves, reads_late, long_write, hasty, count };
+enum class Manner {
+    pipelines,
+    in_pieces,
+    half_command,
+    half_value,
+    rests,
+    leaves,
+    reads_late,
+    long_write,
+    hasty,
+    count
+};
 
 constexpr double kBadClientLimit = 3.0;  // s that a command which stops may stay before it is ended
 constexpr double kSlack = 0.15;
@@ -161,10 +172,11 @@
         case Manner::half_command:
         case Manner::half_value: {
             const bool value = manner_ == Manner::half_value;
-            std::string text = value ? "ms 00000000000000aa 100000 Ohalf Pc=" +
-                                           environment().scenario.operations.back().name + ",d=1000,k=aa\r\n" +
-                                           std::string(2000, 'x')
-                                     : "mg 00000000000000aa v Oha";
+            std::string text =
+                value
+                    ? "ms 00000000000000aa 100000 Ohalf Pc=" + environment().scenario.operations.back().name +
+                          ",d=1000,k=aa\r\n" + std::string(2000, 'x')
+                    : "mg 00000000000000aa v Oha";
             if (crowd_.draw() < 0.4) text = command(0, false, 0) + text;
             connection_->write(text);
             is_halting_ = true;
@@ -217,7 +229,8 @@
         if (asked_.empty()) {
             // The error line for what was never a whole command.
             if (is_halting_ && now - stopped_at_ > kBadClientLimit + kSlack)
-                crowd_.complaints_.push_back("node " + std::to_string(node_) + " ended a stopped command after " +
+                crowd_.complaints_.push_back("node " + std::to_string(node_) +
+                                             " ended a stopped command after " +
                                              std::to_string(now - stopped_at_) + " s");
             connection_->take(taken);
             continue;
@@ -233,7 +246,8 @@
         connection_->take(taken);
     }
     if (!asked_.empty() || is_halting_ || connection_->is_closed()) return;
-    // A client that rests stays until the node ends it, or it asks again: just when a close may be on its way.
+    // A client that rests stays until the node ends it, or it asks again: just when a close may be on its
+    // way.
     finish_manner(manner_ == Manner::rests ? 0.05 + 2.5 * crowd_.draw() : 0.02);
 }
 
@@ -252,7 +266,8 @@
         } else if (cut && i == 0) {
             environment().auditor.on_response(now, request, audit::Reply::truncated, -1);
         } else if (!is_fresh_ && !environment().auditor.has_attempts(request)) {
-            environment().auditor.on_client_closed(now, request);  // it crossed the end of a resting connection
+            environment().auditor.on_client_closed(now,
+                                                   request);  // it crossed the end of a resting connection
         } else {
             environment().auditor.on_connection_closed(now, request);
         }
--- a/src/testkit/mannered_clients.h
+++ b/src/testkit/mannered_clients.h
@@ -1,7 +1,7 @@
-// Clients of a soak that a fleet meets in production: they pipeline, write in pieces, stop inside a command and
-// stay, rest until they are closed, leave while they wait, read late, write long values, or have very little
-// time left. Each plays one manner after another on connections of its own until the end of the run. All that
-// they ask is registered with the auditor; that a stopped command is ended in time is checked here.
+// Clients of a soak that a fleet meets in production: they pipeline, write in pieces, stop inside a command
+// and stay, rest until they are closed, leave while they wait, read late, write long values, or have very
+// little time left. Each plays one manner after another on connections of its own until the end of the run.
+// All that they ask is registered with the auditor; that a stopped command is ended in time is checked here.
 #pragma once
 
 #include <boost/random/mersenne_twister.hpp>
--- a/src/testkit/shim/fault_shim.cpp
+++ b/src/testkit/shim/fault_shim.cpp
@@ -172,7 +172,8 @@
     if (socket_call_fails()) {
         const double kind = plan().draw();
         if (kind < 0.4) return fail(EINTR);
-        if (kind < 0.5 && connected_sockets().contains(fd)) return fail(plan().one_of({ETIMEDOUT, EHOSTUNREACH}));
+        if (kind < 0.5 && connected_sockets().contains(fd))
+            return fail(plan().one_of({ETIMEDOUT, EHOSTUNREACH}));
         size = std::max<size_t>(1, size / 4096);  // a short read
     }
     return real_call(fd, buffer, size, flags);
--- a/src/testkit/soak.cpp
+++ b/src/testkit/soak.cpp
@@ -12,11 +12,11 @@
 namespace {
 
 constexpr double kDayLength = 11.0;
-constexpr double kFirstFault = 1.0;      // s after the day's start
-constexpr double kLastFault = 8.5;       // no fault begins later, so that each has time to show
-constexpr double kQuietStart = 5.0;      // of days on which trouble begins after a quiet time
+constexpr double kFirstFault = 1.0;  // s after the day's start
+constexpr double kLastFault = 8.5;   // no fault begins later, so that each has time to show
+constexpr double kQuietStart = 5.0;  // of days on which trouble begins after a quiet time
 constexpr double kQuietProbability = 0.2;
-constexpr double kNodeStartup = 1.0;     // s from the start of a process to the day's, about
+constexpr double kNodeStartup = 1.0;  // s from the start of a process to the day's, about
 constexpr int kMemoryMegabytes = 96;
 constexpr int kDescriptors = 256;
 constexpr int kClientsPerNode = 3;
@@ -106,15 +106,18 @@
 
 // One of the faults that strike servers, discovery, the links or the nodes.
 Trouble draw_fault(Chance& chance, const Scenario& s, double at) {
-    static constexpr TroubleKind kKinds[] = {
-        TroubleKind::silent,         TroubleKind::slow,          TroubleKind::cold_return,
-        TroubleKind::crash,          TroubleKind::drain,         TroubleKind::remove,
-        TroubleKind::spoilt,         TroubleKind::origin_slow,   TroubleKind::origin_stop,
-        TroubleKind::discovery_down, TroubleKind::discovery_stale, TroubleKind::list_late,
-        TroubleKind::node_kill,      TroubleKind::node_restart,  TroubleKind::node_restart,
-        TroubleKind::reload,         TroubleKind::reload,        TroubleKind::reload_bad,
-        TroubleKind::freeze,         TroubleKind::tricklers,     TroubleKind::non_readers,
-        TroubleKind::cut,            TroubleKind::void_copies};
+    static constexpr TroubleKind kKinds[] = {TroubleKind::silent,          TroubleKind::slow,
+                                             TroubleKind::cold_return,     TroubleKind::crash,
+                                             TroubleKind::drain,           TroubleKind::remove,
+                                             TroubleKind::spoilt,          TroubleKind::origin_slow,
+                                             TroubleKind::origin_stop,     TroubleKind::discovery_down,
+                                             TroubleKind::discovery_stale, TroubleKind::list_late,
+                                             TroubleKind::node_kill,       TroubleKind::node_restart,
+                                             TroubleKind::node_restart,    TroubleKind::reload,
+                                             TroubleKind::reload,          TroubleKind::reload_bad,
+                                             TroubleKind::freeze,          TroubleKind::tricklers,
+                                             TroubleKind::non_readers,     TroubleKind::cut,
+                                             TroubleKind::void_copies};
     constexpr int kCount = static_cast<int>(std::size(kKinds));
     Trouble t;
     t.kind = kKinds[chance.whole(0, kCount - 1)];
@@ -209,15 +212,17 @@
     if (!day.failed.empty()) result.failures.push_back("not played: " + day.failed);
     for (const audit::Violation& v : day.verdict.violations) {
         if (result.failures.size() < kMaxFailures)
-            result.failures.push_back("rule " + std::to_string(v.rule) + " at " + decimal(v.at) + " s: " + v.what);
+            result.failures.push_back("rule " + std::to_string(v.rule) + " at " + decimal(v.at) +
+                                      " s: " + v.what);
     }
     for (const std::string& complaint : day.complaints) {
         if (result.failures.size() < kMaxFailures) result.failures.push_back("client: " + complaint);
     }
-    if (day.crashes > 0) result.failures.push_back(std::to_string(day.crashes) + " daemons ended by themselves");
+    if (day.crashes > 0)
+        result.failures.push_back(std::to_string(day.crashes) + " daemons ended by themselves");
     if (day.daemon_descriptors > plan.scenario.node_descriptors)
-        result.failures.push_back("a daemon held " + std::to_string(day.daemon_descriptors) + " descriptors of " +
-                                  std::to_string(plan.scenario.node_descriptors));
+        result.failures.push_back("a daemon held " + std::to_string(day.daemon_descriptors) +
+                                  " descriptors of " + std::to_string(plan.scenario.node_descriptors));
     if (day.daemon_rss_mb > plan.scenario.node_memory_mb)
         result.failures.push_back("a daemon held " + decimal(day.daemon_rss_mb) + " MB of " +
                                   std::to_string(plan.scenario.node_memory_mb));
--- a/src/testkit/soak.h
+++ b/src/testkit/soak.h
@@ -1,6 +1,6 @@
 // The soak: days of many daemons with faults drawn from a seed that overlap two or three at a time, client
-// manners of all kinds, and a preloaded shim that steps wall clocks and lets system calls and writes fail. The
-// auditor's rules and the daemons' own counts of violations are its oracle. Real processes and sockets.
+// manners of all kinds, and a preloaded shim that steps wall clocks and lets system calls and writes fail.
+// The auditor's rules and the daemons' own counts of violations are its oracle. Real processes and sockets.
 //
 // A day is drawn without I/O and is the same for the same seed; what the processes make of it is not, so a
 // failing day is played again as often as its finder likes.
@@ -39,7 +39,7 @@
 
 struct SoakResult {
     std::uint64_t seed = 0;
-    bool is_void = false;               // the watching process was late: nothing is proved
+    bool is_void = false;  // the watching process was late: nothing is proved
     std::string void_reason;
     std::vector<std::string> failures;  // one line each; none: all invariants held
     std::uint64_t requests = 0, attempts = 0;
--- a/tests/client_connections_test.cpp
+++ b/tests/client_connections_test.cpp
@@ -66,6 +66,21 @@
     EXPECT_LT(seconds() - stopped, kBadClientSeconds);
 }
 
+// The answer to the command before it is no sign of life of the client.
+TEST(HalfCommand, BehindARequestThatIsAnsweredMeanwhileIsEndedInTime) {
+    Fleet fleet(1);
+    fleet.caches.front().plays([](const std::string& m) {
+        std::this_thread::sleep_for(1500 * kMillisecond);
+        return hit(m);
+    });
+    Line line(own_loopback(), fleet.port());
+    line.send(read_of("7f3a", "r1", 60000) + "mg 7f3a v Oha");
+    const double stopped = seconds();
+    EXPECT_EQ(line.until("hello\r\n"), "VA 5 Or1\r\nhello\r\n");
+    EXPECT_EQ(line.until("\r\n"), "CLIENT_ERROR incomplete command\r\n");
+    EXPECT_LT(seconds() - stopped, kBadClientSeconds);
+}
+
 // Its answer fills all buffers between here and there, and its next command never ends.
 TEST(HalfCommand, OfAClientThatReadsNothingIsEndedInTime) {
     constexpr std::size_t kLength = 4 * 1000 * 1000;
