The silence timeout of a client runs from its own bytes alone

Cause: write_responses and write_chunk set Client::last_used, from which check_timeouts counted the silence of a client that had stopped inside a command, so an answer to its earlier command kept it for up to 2.5 s more. Change: last_received counts from the client's bytes, or from when held-back input is read on; last_used stays for idle times.

--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -75,7 +75,7 @@
         const std::uint64_t id = ++last_id_;
         Client& client = clients_[id];
         ++open_count_;
-        client.last_used = monotonic_now();
+        client.last_used = client.last_received = monotonic_now();
         client.connection = std::make_unique<TcpConnection>(
             std::move(result.socket), kReadLimitBytes, budget_,
             [this, id, &client](TcpConnection::Event event) { on_event(id, client, event); });
@@ -112,7 +112,8 @@
     if (event == TcpConnection::Event::closed) return close(id, client, CloseReason::peer_closed);
     if (event == TcpConnection::Event::readable) {
         client.arrival_times.on_received(client.connection->input().size(), client.connection->received_at());
-        if (!client.closing) client.last_used = monotonic_now();
+        client.last_received = monotonic_now();
+        if (!client.closing) client.last_used = client.last_received;
     }
     if (event == TcpConnection::Event::drained && client.closing) start_lingering_close(id, client);
     read_commands(id, client);
@@ -236,7 +237,7 @@
         if (entry == clients_.end() || entry->second.connection->is_closed()) continue;
         Client& client = entry->second;
         if (client.held_back != HoldReason::commands_of_all) continue;  // read on meanwhile
-        client.last_used = monotonic_now();
+        client.last_used = client.last_received = monotonic_now();
         read_commands(id, client);
         close_if_done(id, client);
     }
@@ -281,7 +282,7 @@
     const double now = monotonic_now();
     for (auto& [id, client] : clients_) {
         if (!client.connection->is_closed() && client.held_back == HoldReason::memory_of_all) {
-            client.last_used = now;
+            client.last_used = client.last_received = now;
             read_commands(id, client);
         }
         if (!client.connection->is_closed()) check_timeouts(id, client, now);
@@ -311,9 +312,12 @@
         client.unread_since = now;
     }
     // Input that we chose not to read, or did not get to, is no silence of the client.
-    const bool silent = now - client.last_used >= kSilenceTimeoutSeconds && !client.reading_stopped &&
-                        client.held_back == HoldReason::none && !client.connection->has_unreceived_input();
-    const bool inside_command = silent && !client.connection->input().empty();
+    const bool is_read = !client.reading_stopped && client.held_back == HoldReason::none &&
+                         !client.connection->has_unreceived_input();
+    const bool inside_command = is_read && !client.connection->input().empty() &&
+                                now - client.last_received >= kSilenceTimeoutSeconds;
+    const bool silent =
+        is_read && client.connection->input().empty() && now - client.last_used >= kSilenceTimeoutSeconds;
     if (client.unread_response_bytes > 0) {
         const double limit = inside_command ? kSilenceTimeoutSeconds : kUnreadResponseTimeoutSeconds;
         if (now - client.unread_since >= limit) close(id, client, CloseReason::unread_responses);
--- a/src/downstream/client_connections.h
+++ b/src/downstream/client_connections.h
@@ -121,7 +121,8 @@
         ArrivalTimes arrival_times;
         std::deque<PendingResponse> pending;
         std::uint64_t first_command = 0;  // the number of pending.front()
-        double last_used = 0;
+        double last_used = 0;             // when bytes last went either way
+        double last_received = 0;         // when it last wrote, or was last read on after it was held back
         // Response bytes not written yet, as last seen by check_timeouts(), and when that number changed.
         std::size_t unread_response_bytes = 0;
         double unread_since = 0;
--- a/src/testkit/fake_cache_server.h
+++ b/src/testkit/fake_cache_server.h
@@ -72,6 +72,7 @@
     void arm();
     void look();
     void reset_all();
+    bool reads_promptly(double now) const;
 
     TestEnvironment& environment_;
     const int number_;
@@ -87,6 +88,7 @@
     int most_peers_ = 0;
     std::unordered_map<int, Job> jobs_;
     double started_ = -1;
+    double silent_until_ = -1e9;  // when it last began to speak again
     bool running_ = true, silent_ = false, fallen_ = false, cold_ = false;
     double factor_ = 1, spoilt_ = 0;
     std::uint64_t spoil_draw_ = 0;
--- a/src/testkit/run_nodes.cpp
+++ b/src/testkit/run_nodes.cpp
@@ -57,7 +57,7 @@
 
 void ScenarioRun::start_node(int node) {
     Node& n = nodes_[index(node)];
-    n.ready = false;
+    n.ready = n.is_restarting = false;
     ++n.starts;
     const std::uint64_t seed =
         key_of_rank(plan_.seed * 1000 + static_cast<std::uint64_t>(node) * 100 + n.starts);
@@ -125,6 +125,7 @@
 
 void ScenarioRun::terminate_node(int node) {
     Node& n = nodes_[index(node)];
+    if (std::exchange(n.is_restarting, true)) return mark("node " + std::to_string(node) + " ends already");
     n.daemon->expected_to_end = true;
     n.daemon->signal(SIGTERM);
     double longest = 0;
@@ -168,6 +169,12 @@
 
 void ScenarioRun::kill_node(int node, double away) {
     Node& n = nodes_[index(node)];
+    if (n.is_restarting) {
+        // Killed while it ends: whoever waits for its end starts it again.
+        auditor_.on_node_killed(environment_.now(), node);
+        return n.daemon->kill();
+    }
+    n.is_restarting = true;
     n.daemon->expected_to_end = true;
     // The judge hears of it first: what breaks from here on is the kill's doing.
     auditor_.on_node_killed(environment_.now(), node);
--- a/src/testkit/scenario_run.h
+++ b/src/testkit/scenario_run.h
@@ -35,6 +35,7 @@
         GossipAddresses talk;
         std::uint64_t starts = 0;
         bool ready = false;
+        bool is_restarting = false;  // told to end or killed, and not started again yet
         double waited_before = 0, cpu_before = 0, cpu_gone = 0;
         // Keeps the ended process's CPU time in the total.
         void count_ended_process() {
