--- a/src/audit/auditor.h
+++ b/src/audit/auditor.h
@@ -36,6 +36,8 @@
     void on_request(double now, int request, const RequestInfo& info);
     // `attempt` is the one that produced the response, as its value or receipt says; -1: it names none.
     void on_response(double now, int request, Reply reply, int attempt);
+    // The first bytes of a long value have come, which is when it counts; it may still end as truncated.
+    void on_response_begun(double now, int request);
     void on_client_closed(double now, int request);      // by the client, before the response
     void on_connection_closed(double now, int request);  // by the node, without a complete response
     void on_unreachable(double now, int request);        // no connection to the node could be opened
@@ -62,6 +64,8 @@
     // The watching process, or the machine, did not run for `delay` seconds until now.
     void on_watcher_delay(double now, double delay);
 
+    // Whether the node was paused from outside at some time after `since`.
+    bool was_paused(double since, int node) const { return node_paused_until_[index(node)] >= since; }
     bool has_attempts(int request) const { return !history_.requests[index(request)].attempts.empty(); }
     // Ends all open requests and judges the run.
     Verdict finish(double now);
--- a/src/audit/history.h
+++ b/src/audit/history.h
@@ -44,6 +44,7 @@
     RequestInfo info;
     double received_at = 0;
     double ended_at = -1;  // -1: not ended
+    double begun_at = -1;  // when the first bytes of a long value came; -1: none did
     RequestEnd end = RequestEnd::open;
     Reply reply = Reply::failed;  // valid for RequestEnd::responded
     std::vector<int> attempts;
--- a/src/testkit/load_clients.cpp
+++ b/src/testkit/load_clients.cpp
@@ -202,6 +202,8 @@
     while (!conn.is_closed()) {
         Heard heard;
         const std::size_t taken = read_heard(conn.input(), heard);
+        if (taken == 0 && line->busy && has_begun_long_value(conn.input()))
+            environment_.auditor.on_response_begun(environment_.now(), line->inv);
         if (taken == 0) return;
         const double now = environment_.now();
         const ClientReply answer = classify_reply(heard, environment_.day, line->inv, line->user.plan->key);
--- a/src/testkit/wire.cpp
+++ b/src/testkit/wire.cpp
@@ -154,6 +154,15 @@
     return end + 2;
 }
 
+bool has_begun_long_value(std::string_view in) {
+    constexpr std::size_t kLongValue = 64 * 1024;
+    const std::size_t end = in.find("\r\n");
+    if (end == std::string_view::npos) return false;
+    std::string_view line = in.substr(0, end);
+    std::size_t length = 0;
+    return next_word(line) == "VA" && parse_number(next_word(line), length) && length > kLongValue;
+}
+
 std::string id_text(std::uint32_t day, int inv) {
     char room[24];
     std::snprintf(room, sizeof room, "%08x%08x", day, static_cast<unsigned>(inv));
--- a/src/testkit/wire.h
+++ b/src/testkit/wire.h
@@ -42,6 +42,8 @@
     double advice = 0;
 };
 std::size_t read_heard(std::string_view in, Heard& out);
+// Whether the input begins with the head of a value over 64 KiB, of which the first bytes are timed.
+bool has_begun_long_value(std::string_view in);
 
 std::string id_text(std::uint32_t day, int inv);                   // unique over concurrent runs
 bool read_id(std::string_view text, std::uint32_t day, int& inv);  // false: not an id of this run
--- a/tests/client_connections_test.cpp
+++ b/tests/client_connections_test.cpp
@@ -121,4 +121,24 @@
     EXPECT_EQ(line.until("hello\r\n"), "VA 5 Obehind\r\nhello\r\n");
 }
 
+// One that stalls may still break off, so nothing of it is passed on while it does; in its time it has
+// failed.
+TEST(BrokenOffValue, ThatStallsTakesNoCommandBehindItAlong) {
+    constexpr std::size_t kLength = 300 * 1000;
+    Fleet fleet(1);
+    fleet.caches.front().plays([](const std::string& m) {
+        if (id_in(m) != "long") return hit(m);
+        Act act{"VA " + std::to_string(kLength) + " Olong h1\r\n" + std::string(kLength / 2, 'x')};
+        act.close = true;
+        act.wait = [] { std::this_thread::sleep_for(3000 * kMillisecond); };
+        return act;
+    });
+    Line line(own_loopback(), fleet.port());
+    const double asked = seconds();
+    line.send(read_of("7f3a", "long", 2000) + read_of("7f3a", "behind", 5000));
+    EXPECT_EQ(line.until("\r\n"), "SERVER_ERROR failed\r\n");
+    EXPECT_LT(seconds() - asked, 2.0);
+    EXPECT_EQ(line.until("hello\r\n"), "VA 5 Obehind\r\nhello\r\n");
+}
+
 }  // namespace
