--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -26,6 +26,7 @@
 constexpr double kMinIdleSeconds = 0.05;
 constexpr double kUnreadResponseTimeoutSeconds = 10.0;  // without a client reading any of its responses
 constexpr double kTimeoutCheckIntervalSeconds = 0.05;
+constexpr const char* kFailedLine = "SERVER_ERROR failed\r\n";
 constexpr const char* kOutOfMemoryLine = "SERVER_ERROR out of memory";
 // Closing a socket with unread input resets the connection, and responses not delivered yet are lost. So the
 // write side is shut down first, and for this time further input is read and discarded.
@@ -359,7 +360,7 @@
 }
 
 void ClientConnections::begin_stream(const RequestHandle& handle, std::string header, std::uint64_t stream,
-                                     std::size_t length, double collect_until) {
+                                     const StreamTerms& terms) {
     Client* client = find(handle);
     if (client == nullptr) return stream_callbacks_.on_abandoned(stream);
     PendingResponse& response = response_to(*client, handle);
@@ -367,20 +368,36 @@
     response.text = std::move(header);
     response.stream = stream;
     const bool is_last = handle.command + 1 == client->first_command + client->pending.size();
-    if (is_last || budget_.used + length > budget_.limit) return write_responses(*client);
+    if (is_last || budget_.used + terms.length > budget_.limit) return write_responses(*client);
     response.collecting = true;
-    response.text.reserve(response.text.size() + length + kLineEndBytes);
-    timers_.schedule(collect_until, [this, handle] { stop_collecting(handle); });
+    response.write_from = terms.write_from;
+    response.text.reserve(response.text.size() + terms.length + kLineEndBytes);
+    timers_.schedule(terms.give_up_at, [this, handle] { give_up_collecting(handle); });
     stream_callbacks_.on_writable(stream);
 }
 
-// From now on the response is written as it comes. If it breaks off, later ones are lost; but the client
-// would have nothing of this one in time if it were collected further.
-void ClientConnections::stop_collecting(const RequestHandle& handle) {
+// From now on the response is written as it comes. If it breaks off, later ones are lost; but its client
+// judges it by its first bytes.
+void ClientConnections::write_collected(Client& client, PendingResponse& response) {
+    response.collecting = false;
+    write_responses(client);
+}
+
+// Nothing of the response is written yet, so an error line can stand in its place, in time.
+void ClientConnections::give_up_collecting(const RequestHandle& handle) {
     Client* client = find(handle);
     if (client == nullptr || !response_to(*client, handle).collecting) return;
-    response_to(*client, handle).collecting = false;
+    PendingResponse& response = response_to(*client, handle);
+    log_.line(Topic::client, "value_given_up",
+              "a long value stalls, and its client has sent further commands");
+    response.collecting = false;
+    budget_.used -= response.text.size();
+    response.text = {};
+    stream_callbacks_.on_abandoned(std::exchange(response.stream, 0));
+    finish_response(response, kFailedLine);
     write_responses(*client);
+    read_commands(handle.connection, *client);
+    close_if_done(handle.connection, *client);
 }
 
 // Responses are written in the order of the commands: a stream that is not in front gets no capacity, and its
@@ -404,7 +421,7 @@
     if (!response.collecting) return client->connection->write(bytes);
     response.text += bytes;
     budget_.used += bytes.size();
-    if (budget_.exceeded()) stop_collecting(handle);
+    if (budget_.exceeded() || monotonic_now() >= response.write_from) write_collected(*client, response);
 }
 
 void ClientConnections::end_stream(const RequestHandle& handle, bool complete, std::string_view line) {
--- a/src/downstream/client_connections.h
+++ b/src/downstream/client_connections.h
@@ -69,11 +69,17 @@
     /// Answers a command with `text`, complete with its line end. No effect if it is already answered or the
     /// client has closed. Out of memory, an error line is sent instead of a long response.
     void respond(const RequestHandle& handle, std::string text);
-    /// Begins a streamed response with its header; `length` bytes follow in chunks within stream_capacity().
-    /// Where further commands of the client are read already, it is collected whole before it is written, but
-    /// no longer than until `collect_until`: breaking off, it would take their responses with it.
+    /// How a streamed response is collected where further commands of its client are read already: breaking
+    /// off, it would take their responses with it. It is written once it is complete, or by its next chunk
+    /// after `write_from`; a response that stalls fails at `give_up_at`, with an error line in its place.
+    struct StreamTerms {
+        std::size_t length = 0;  // bytes that follow in chunks
+        double write_from = 0;   // s, monotonic
+        double give_up_at = 0;   // s, monotonic
+    };
+    /// Begins a streamed response with its header; the chunks follow within stream_capacity().
     void begin_stream(const RequestHandle& handle, std::string header, std::uint64_t stream,
-                      std::size_t length, double collect_until);
+                      const StreamTerms& terms);
     std::size_t stream_capacity(const RequestHandle& handle) const;
     void write_chunk(const RequestHandle& handle, std::string_view bytes);
     /// Ends a streamed response. If it is not complete, `line` is sent in its place; once a part of it has
@@ -105,7 +111,8 @@
         std::string text;
         std::uint64_t stream = 0;  // id of the streamed response, or 0
         bool started = false;      // a part of the streamed response is written
-        bool collecting = false;   // the streamed response is kept in `text` until it is complete
+        bool collecting = false;   // the streamed response is kept in `text` until it may be written
+        double write_from = 0;     // of a collected response, see StreamTerms
         std::size_t reserved = 0;  // bytes reserved for the command's value
     };
     /// Why input that holds a whole command is not read; each reason names who reads on.
@@ -152,7 +159,8 @@
     Client* find(const RequestHandle& handle);
     void finish_response(PendingResponse& response, std::string text);
     PendingResponse& response_to(Client& client, const RequestHandle& handle);
-    void stop_collecting(const RequestHandle& handle);
+    void write_collected(Client& client, PendingResponse& response);
+    void give_up_collecting(const RequestHandle& handle);
     void write_responses(Client& client);
     void reject_connection(std::uint64_t id, Client& client, const char* line);
     void check_clients();
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -23,6 +23,7 @@
 constexpr double kCatchUp = 0.25;         // s after a pause in which the backlog is read
 
 constexpr double kEvictionInterval = 1.0;    // s between checks, until all removed servers are evicted
+constexpr double kAnswerMargin = 0.05;       // s before its deadline at which a response has to be written
 constexpr double kHealthCheckTimeout = 0.5;  // s; a health check has no request whose deadline it shares
 
 constexpr double kAdminStateInterval = 0.025;  // s between reloads of what sibling processes wrote
@@ -371,11 +372,12 @@
     balancer_->on_client_closed(now, request);
 }
 
-// Collecting a streamed response delays its first bytes, by which the client judges it: so for at most half
-// of the time that is left to the latency objective.
-double Node::collect_until(const ActiveRequest& active, double now) {
+// Collecting a streamed response delays its first bytes, by which its client judges it: so it is written from
+// half of the time on that is left to the latency objective.
+ClientConnections::StreamTerms Node::stream_terms(const ActiveRequest& active, std::size_t length,
+                                                  double now) {
     const double due = std::min(active.deadline, active.received_at + active.operation.latency_objective);
-    return now + std::max(0.0, due - now) / 2;
+    return {length, now + std::max(0.0, due - now) / 2, active.deadline - kAnswerMargin};
 }
 
 void Node::on_attempt_finished(double now, UpstreamPool::AttemptResult& result) {
@@ -389,10 +391,9 @@
         // The client gets its first bytes now, and no other attempt may answer it any more.
         action_queue_.emplace_back([this, client = active.client, stream = result.stream,
                                     head = format_value_header(active.command.id, result.stream_length),
-                                    length = result.stream_length,
-                                    collect_until = collect_until(active, now)]() mutable {
+                                    terms = stream_terms(active, result.stream_length, now)]() mutable {
             streams_.emplace(stream, client);
-            clients_.begin_stream(client, std::move(head), stream, length, collect_until);
+            clients_.begin_stream(client, std::move(head), stream, terms);
         });
         finish(result.request);
     } else if (result.stream != 0) {
