--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -74,6 +74,7 @@
     const char* put = R"("deduplicated","group":"all","key_ttl_us":3000000)";  // the effect of a write
     bool asked = false;  // lists come only when they are asked for, not pushed
     int drain_grace_ms = 0;
+    std::vector<std::string> environment = {};  // NAME=VALUE, added to the daemon's
 };
 
 // A process of the node's beside the first: the same listener and TMPDIR, an operators' address of its own.
@@ -106,8 +107,8 @@
             listener_ = -1;
         }
         tmp_ = around.tmp;
-        daemon_ = std::make_unique<DaemonProcess>(
-            DaemonProcess::Place{BROOKRELAY_PROGRAM, "/tmp", next_name(), -1, listener_, tmp_});
+        daemon_ = std::make_unique<DaemonProcess>(DaemonProcess::Place{
+            BROOKRELAY_PROGRAM, "/tmp", next_name(), -1, listener_, tmp_, {}, around.environment});
         if (around.managed) management_ = free_address();
         std::string hosts = around.aside ? entry("origin", origin, "SERVING") : "";
         for (ScriptedPeer& c : caches) hosts += (hosts.empty() ? "" : ",") + entry(name(c), c, "SERVING");
--- a/tests/upstream_pool_test.cpp
+++ b/tests/upstream_pool_test.cpp
@@ -57,6 +57,62 @@
     }
 }
 
+// A process that is held up for less than a pause that it notices as one.
+TEST(ToldDeadline, IsWhatTheClientHasLeftAfterAShortHoldUp) {
+    Fleet fleet(1);
+    Line line(own_loopback(), fleet.port());
+    line.send("mn\r\n");
+    ASSERT_EQ(line.until("\r\n"), "MN\r\n");
+    for (int n = 0; n < 5; ++n) {
+        std::this_thread::sleep_for(400 * kMillisecond);
+        fleet.signal(SIGSTOP);
+        const std::string id = "h" + std::to_string(n);
+        const double asked = seconds();
+        line.send(read_of("7f3a", id, 2000));
+        std::this_thread::sleep_for(190 * kMillisecond);
+        fleet.signal(SIGCONT);
+        EXPECT_EQ(line.until("hello\r\n"), "VA 5 O" + id + "\r\nhello\r\n");
+        EXPECT_LE(told_deadline(fleet.caches.front().heard().back()),
+                  2.0 - (seconds() - asked) + kDeadlineSlack);
+    }
+}
+
+// A client whose connection waits to be accepted has sent its command already.
+TEST(ToldDeadline, IsWhatTheClientHasLeftWhenItsConnectionIsAcceptedLate) {
+    constexpr int kOthers = 24;  // as many as 64 descriptors leave for clients
+    Around around;
+    around.descriptors = 64;
+    Fleet fleet(1, around);
+    std::list<Line> others;
+    for (int n = 0; n < kOthers; ++n) {
+        others.emplace_back(own_loopback(), fleet.port());
+        others.back().send("mg 7f3a v Oha");  // half a command: its connection is not closed for another
+    }
+    wait_for([&] { return fleet.logged("all client connections are in use"); });
+    Line late(own_loopback(), fleet.port());
+    const double asked = seconds();
+    late.send(read_of("7f3a", "late", 3000));
+    std::this_thread::sleep_for(1000 * kMillisecond);
+    others.clear();
+    EXPECT_EQ(late.until("hello\r\n"), "VA 5 Olate\r\nhello\r\n");
+    const double left = 3.0 - (seconds() - asked);
+    const double told = told_deadline(fleet.caches.front().heard().back());
+    EXPECT_LE(told, left + kDeadlineSlack);
+}
+
+// ---- system calls that fail for a moment -----------------------------------------------------------------
+
+// Its first socket may be one of those that fail.
+TEST(SystemCalls, ThatFailWhileItStartsKeepNobodyFromServing) {
+    Around around;
+    around.environment = {"LD_PRELOAD=" FAULT_SHIM_LIBRARY, "FAULT_SHIM_CALLS=0:0.6:1"};
+    const double started = seconds();
+    Fleet fleet(1, around);
+    EXPECT_EQ(fleet.ask(read_of("7f3a", "s1")), "VA 5 Os1\r\n");
+    EXPECT_LT(seconds() - started, 5.0);
+    EXPECT_TRUE(fleet.alive());
+}
+
 // ---- clients that leave while their request is being sent ------------------------------------------------
 
 // A request begins with its last byte. One whose client leaves before that must not begin any more.
