Hold-ups from 0.1 s on and waits in the accept queue count as time of the client

Cause: a command that lay unread while the process was held up for less than 0.25 s, or whose connection waited to be accepted, counted as received when it was read, and its server was told too much; and one failing socket call at the start ended the program. Change: a pause is noticed from 0.1 s on (a timer is due every 25 ms), and its catch-up lasts at most as long as it did; for the first input of an accepted connection the kernel is asked when it came (TCP_INFO); the listener's socket is tried for 2 s.

--- a/src/io/listener.cpp
+++ b/src/io/listener.cpp
@@ -11,6 +11,8 @@
 
 // Connections in the backlog already count as accepted for the clients that write to them.
 constexpr int kListenBacklog = 1024;
+constexpr int kSocketAttempts = 40;
+constexpr gulong kSocketRetryMicroseconds = 50'000;
 
 }  // namespace
 
@@ -21,6 +23,11 @@
         return nullptr;
     }
     SocketRef socket = create_socket(address.get());
+    // The machine may be short of descriptors or buffers for a moment.
+    for (int attempt = 1; socket == nullptr && attempt < kSocketAttempts; ++attempt) {
+        g_usleep(kSocketRetryMicroseconds);
+        socket = create_socket(address.get());
+    }
     GError* cause = nullptr;
     if (socket != nullptr) {
         g_socket_set_blocking(socket.get(), FALSE);
--- a/src/io/tcp_connection.cpp
+++ b/src/io/tcp_connection.cpp
@@ -27,6 +27,16 @@
     g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
 }
 
+// 0 where the system does not tell.
+double seconds_since_last_data(GSocket* socket) {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    constexpr double kMillisecondsPerSecond = 1e3;
+    if (getsockopt(g_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || size < sizeof info)
+        return 0;
+    return info.tcpi_last_data_recv / kMillisecondsPerSecond;
+}
+
 }  // namespace
 
 TcpConnection::TcpConnection(SocketRef accepted, std::size_t read_limit, ByteBudget& budget,
@@ -36,6 +46,7 @@
       read_limit_(read_limit),
       budget_(budget),
       on_event_(std::move(on_event)),
+      is_accepted_unread_(true),
       priority_(priority) {
     configure_socket(socket_.get());
     watch_input();
@@ -153,14 +164,23 @@
     if (count < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) return;
     ended_cleanly_ = count == 0;
     if (count <= 0) return on_end();
-    received_at_ = reading_paused_at_ > 0 ? reading_paused_at_ : monotonic_now();
-    if (static_cast<std::size_t>(count) < buffer.size()) reading_paused_at_ = 0;
+    received_at_ = arrival_of_received(static_cast<std::size_t>(count) < buffer.size());
     input_.append(buffer.data(), static_cast<std::size_t>(count));
     update_budget();
     on_event_(Event::readable);
     watch_input();
 }
 
+double TcpConnection::arrival_of_received(bool all_received) {
+    const double now = monotonic_now();
+    const double arrival = reading_paused_at_ > 0 ? reading_paused_at_
+                           : is_accepted_unread_  ? now - seconds_since_last_data(socket_.get())
+                                                  : now;
+    is_accepted_unread_ = false;
+    if (all_received) reading_paused_at_ = 0;
+    return arrival;
+}
+
 bool TcpConnection::has_unread_input() const { return !input().empty() || has_unreceived_input(); }
 
 bool TcpConnection::has_unreceived_input() const {
--- a/src/io/tcp_connection.h
+++ b/src/io/tcp_connection.h
@@ -94,6 +94,7 @@
     void on_connected();
     void receive();
     void on_end();
+    double arrival_of_received(bool all_received);
 
     template <void (TcpConnection::*Method)()>
     static gboolean on_socket(GSocket*, GIOCondition, gpointer self) {
@@ -116,6 +117,7 @@
     double received_at_ = 0;
     double reading_paused_at_ = 0;  // 0: all that the kernel held since the last pause is received
     EventHandler on_event_;
+    bool is_accepted_unread_ = false;  // accepted, and nothing is received yet
     int priority_ = G_PRIORITY_DEFAULT;
 };
 
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -19,8 +19,10 @@
 constexpr int kReservedDescriptors = 16 + static_cast<int>(AdminServer::kMaxCallers);
 constexpr double kClientsShare = 0.6;
 
-constexpr double kPauseThreshold = 0.25;  // s without an iteration; some timer is due ten times as often
-constexpr double kCatchUp = 0.25;         // s after a pause in which the backlog is read
+// s without an iteration; some timer is due four times as often. What arrives in a shorter pause counts as
+// received after it, and servers may be told at most 0.15 s more than is left.
+constexpr double kPauseThreshold = 0.1;
+constexpr double kMaxCatchUp = 0.25;  // s after a pause in which the backlog is read, at most as long as it
 
 constexpr double kEvictionInterval = 1.0;    // s between checks, until all removed servers are evicted
 constexpr double kAnswerMargin = 0.05;       // s before its deadline at which a response has to be written
@@ -300,7 +302,7 @@
     const double now = monotonic_now();
     if (now - iteration_started_at_ > kPauseThreshold && now >= catch_up_until_) {
         paused_since_ = iteration_started_at_;
-        catch_up_until_ = now + kCatchUp;
+        catch_up_until_ = now + std::min(kMaxCatchUp, now - paused_since_);
         char text[96];
         std::snprintf(text, sizeof text, "stood still for %.2f s: what came meanwhile counts as come before",
                       now - iteration_started_at_);
