--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -442,4 +442,25 @@
     EXPECT_LT(most, 40);
 }
 
+// The folder is named after the node; a new name in a reload leaves the process with the one that it has.
+TEST(Operations, AReloadWithAnotherNameKeepsTheStateFolder) {
+    const Scratch scratch;
+    Around around = run_by_operators();
+    around.inherited = true;
+    around.tmp = scratch.path();
+    Fleet fleet(1, around);
+    const auto snapshot = [&]() -> std::filesystem::path {
+        for (const auto& entry : std::filesystem::recursive_directory_iterator(scratch.path())) {
+            if (entry.path().filename() == "learned") return entry.path();
+        }
+        return {};
+    };
+    wait_for([&] { return !snapshot().empty(); });
+    fleet.configure(fleet.told_with(R"("name":"n1")", R"("name":"n2")"));
+    fleet.signal(SIGHUP);
+    wait_for([&] { return fleet.logged("configuration read again"); });
+    std::filesystem::remove(snapshot());
+    wait_for([&] { return !snapshot().empty(); });  // it is written again
+}
+
 }  // namespace
