Metrics and a request trace on the operators' address; a reload keeps the state folder

New: GET /metrics (Prometheus text): requests by end, attempts by outcome, sends refused by reason, clients' connections closed by reason, violations by kind, clock steps, pauses, reloads; GET /control/trace: the last 1,024 events of requests with each attempt; a log line request_ended for each request that was rejected, failed or expired, within its own limit of lines.

--- a/src/discovery/endpoint_watch.cpp
+++ b/src/discovery/endpoint_watch.cpp
@@ -158,6 +158,7 @@
     // may have hit all nodes at the same moment.
     const bool silent = timed_out && !std::exchange(last_request_timed_out_, timed_out);
     disconnect();
+    timers_.cancel(retry_timer_);  // bytes that nobody asked for may come before the next request is sent
     watching_ = false;
     if (polls_ && !silent) return on_failed_();
     const double jitter =
--- a/src/io/log.cpp
+++ b/src/io/log.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t kMaxTextBytes = 300;
 constexpr std::array<const char*, static_cast<std::size_t>(Topic::count)> kTopics{
-    "node", "client", "cache", "origin", "discovery", "policy", "guard"};
+    "node", "client", "cache", "origin", "discovery", "policy", "guard", "request"};
 
 // The text may contain bytes from clients and servers, which must not be able to forge a line or break the
 // JSON.
@@ -36,7 +36,7 @@
     out_->flush_on(spdlog::level::trace);
 }
 
-void Log::line(Topic topic, std::string_view event, std::string_view text) {
+Log::Rate& Log::current_rate(Topic topic) {
     const auto uptime = std::chrono::steady_clock::now().time_since_epoch();
     const auto second = std::chrono::duration_cast<std::chrono::seconds>(uptime).count();
     Rate& rate = rates_[static_cast<std::size_t>(topic)];
@@ -45,10 +45,23 @@
         rate = {second, 0, 0};
         if (suppressed > 0) write(topic, "held_back", std::to_string(suppressed) + " more lines held back");
     }
-    if (++rate.written > lines_per_second_) {
+    return rate;
+}
+
+bool Log::admits(Topic topic) {
+    Rate& rate = current_rate(topic);
+    if (rate.written < lines_per_second_) return true;
+    ++rate.suppressed;
+    return false;
+}
+
+void Log::line(Topic topic, std::string_view event, std::string_view text) {
+    Rate& rate = current_rate(topic);
+    if (rate.written >= lines_per_second_) {
         ++rate.suppressed;
         return;
     }
+    ++rate.written;
     write(topic, event, text);
 }
 
--- a/src/io/log.h
+++ b/src/io/log.h
@@ -18,7 +18,7 @@
 namespace brookrelay {
 
 /// What a line is about; `count` is the number of topics.
-enum class Topic { node, client, cache, origin, discovery, policy, guard, count };
+enum class Topic { node, client, cache, origin, discovery, policy, guard, request, count };
 
 /// Writes rate-limited log lines.
 class Log {
@@ -28,6 +28,9 @@
     /// `event` is one word, listed in docs/oncall.md, the same for all lines of its kind. `text` is truncated
     /// and its control characters are replaced.
     void line(Topic topic, std::string_view event, std::string_view text);
+    /// Whether a line of the topic would be written now. If not, it counts as suppressed, and its text need
+    /// not be made.
+    bool admits(Topic topic);
 
   private:
     struct Rate {
@@ -35,6 +38,7 @@
         int written = 0;
         std::uint64_t suppressed = 0;
     };
+    Rate& current_rate(Topic topic);
     void write(Topic topic, std::string_view event, std::string_view text);
 
     std::string name_;
--- a/src/proxy/admin_api.cpp
+++ b/src/proxy/admin_api.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view kZonesPrefix = "/control/zones/";
 constexpr std::string_view kFleetPath = "/control/fleet";
 constexpr std::string_view kReadyPath = "/control/ready";
+constexpr std::string_view kMetricsPath = "/metrics";
+constexpr std::string_view kTracePath = "/control/trace";
 constexpr std::string_view kOffline = "/offline";
 constexpr std::string_view kOnline = "/online";
 
@@ -69,10 +71,13 @@
         const auto& change = std::get<StateChange>(parsed);
         return ZoneStateChange{change.name, change.drain};
     }
-    const bool is_fleet = target == kFleetPath;
-    if (!is_fleet && target != kReadyPath) return kNoSuchPath;
+    const bool is_known =
+        target == kFleetPath || target == kReadyPath || target == kMetricsPath || target == kTracePath;
+    if (!is_known) return kNoSuchPath;
     if (request.method != "GET") return kNeedsGet;
-    if (is_fleet) return FleetStateQuery{};
+    if (target == kFleetPath) return FleetStateQuery{};
+    if (target == kMetricsPath) return MetricsQuery{};
+    if (target == kTracePath) return TraceQuery{};
     return ReadinessQuery{};
 }
 
--- a/src/proxy/admin_api.h
+++ b/src/proxy/admin_api.h
@@ -21,6 +21,10 @@
 };
 /// GET /control/fleet.
 struct FleetStateQuery {};
+/// GET /metrics, in the Prometheus text exposition format.
+struct MetricsQuery {};
+/// GET /control/trace: the last events of requests.
+struct TraceQuery {};
 /// GET /control/ready.
 struct ReadinessQuery {};
 /// A request that names no action, with the response to it.
@@ -28,8 +32,8 @@
     int status = 0;
     const char* text = "";
 };
-using AdminAction =
-    std::variant<AdminError, ServerStateChange, ZoneStateChange, FleetStateQuery, ReadinessQuery>;
+using AdminAction = std::variant<AdminError, ServerStateChange, ZoneStateChange, FleetStateQuery,
+                                 ReadinessQuery, MetricsQuery, TraceQuery>;
 
 AdminAction parse_admin_request(const HttpRequest& request);
 
--- /dev/null
+++ b/src/proxy/metrics.h
@@ -0,0 +1,51 @@
+/// What the node counts of itself since it started, as a page in the Prometheus text exposition format (version
+/// 0.0.4). Counters only grow; gauges are passed in when the page is made. No I/O and no clock.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "balancer/balancer.h"
+#include "downstream/client_connections.h"
+#include "guard/send_guard.h"
+#include "guard/violations.h"
+
+namespace brookrelay {
+
+/// How a request ended. The set is closed: each request that was taken up ends by one of them.
+enum class RequestEnd { served, streamed, rejected, failed, expired, client_closed, count };
+
+/// One word for the log, the trace and the metrics.
+std::string_view name_of(RequestEnd end);
+std::string_view name_of(AttemptOutcome outcome);
+
+class Metrics {
+  public:
+    void on_request() { ++requests_; }
+    void on_request_end(RequestEnd end) { ++request_ends_[static_cast<std::size_t>(end)]; }
+    void on_attempt_end(AttemptOutcome outcome) { ++attempt_ends_[static_cast<std::size_t>(outcome)]; }
+    void on_send_refused(SendRefusal refusal) { ++refusals_[static_cast<std::size_t>(refusal)]; }
+    void on_clock_step() { ++clock_steps_; }
+    void on_pause() { ++pauses_; }
+    void on_reload(bool taken) { ++(taken ? reloads_taken_ : reloads_refused_); }
+
+    /// The present values of what goes up and down, by metric name.
+    using Gauges = std::vector<std::pair<std::string_view, double>>;
+    std::string page(const Gauges& gauges, const ClientConnections& clients,
+                     const ViolationCounter& violations) const;
+
+  private:
+    static constexpr std::size_t kOutcomes = static_cast<std::size_t>(AttemptOutcome::miss) + 1;
+    static constexpr std::size_t kRefusals = static_cast<std::size_t>(SendRefusal::over_quota) + 1;
+    std::uint64_t requests_ = 0, clock_steps_ = 0, pauses_ = 0, reloads_taken_ = 0, reloads_refused_ = 0;
+    std::array<std::uint64_t, static_cast<std::size_t>(RequestEnd::count)> request_ends_{};
+    std::array<std::uint64_t, kOutcomes> attempt_ends_{};
+    std::array<std::uint64_t, kRefusals> refusals_{};
+};
+
+}  // namespace brookrelay
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -244,6 +244,7 @@
     std::vector<ServerTable::Placement> placements;
     std::string refusal = why_not_reloadable(config_, config);
     if (refusal.empty()) refusal = servers_.translate_placements(config_.names, config.names, placements);
+    metrics_.on_reload(refusal.empty());
     if (!refusal.empty()) {
         log_.line(Topic::node, "configuration_refused",
                   "new configuration not taken, the old one stays: " + refusal);
@@ -251,7 +252,6 @@
     }
     const bool has_new_names = !(config.names == config_.names);
     config_ = config;
-    warm_start_file_ = WarmStartFile(node_folder(config_) + "/learned");
     pool_.apply_configuration(config.deployment);
     balancer_->on_configuration(monotonic_now(), config_.deployment);
     std::vector<Endpoint> entries;
@@ -307,6 +307,7 @@
         std::snprintf(text, sizeof text, "stood still for %.2f s: what came meanwhile counts as come before",
                       now - iteration_started_at_);
         log_.line(Topic::node, "stood_still", text);
+        metrics_.on_pause();
     }
     return now < catch_up_until_ ? paused_since_ : now;
 }
@@ -336,6 +337,8 @@
 
 void Node::start_request(double now, int request, int operation) {
     ActiveRequest& active = requests_.at(request);
+    metrics_.on_request();
+    trace(TraceEvent::received, request, RequestTrace::kNoAttempt, ServerTable::kUnknown, {});
     // A safety net: the balancer ends a request before this, or its client has long gone.
     active.expiry_timer =
         timers_.schedule(active.deadline + config_.deployment.response_grace, [this, request] {
@@ -344,7 +347,7 @@
                 if (requests_.at(request).answered) return;
                 log_.line(Topic::node, "outlived", "an invocation outlived its client timeout");
                 respond(request, "SERVER_ERROR timed out\r\n");
-                abandon_request(then, request);
+                abandon_request(then, request, RequestEnd::expired);
             });
         });
     Request arrival;
@@ -365,12 +368,13 @@
 void Node::on_connection_closed(const ClientConnections::RequestHandle& client, int request) {
     event_queue_.emplace_back([this, client, request](double now) {
         const ActiveRequest& active = requests_.at(request);
-        if (active.client == client && !active.answered) abandon_request(now, request);
+        if (active.client == client && !active.answered)
+            abandon_request(now, request, RequestEnd::client_closed);
     });
 }
 
-void Node::abandon_request(double now, int request) {
-    finish(request);
+void Node::abandon_request(double now, int request, RequestEnd end) {
+    finish(request, end);
     balancer_->on_client_closed(now, request);
 }
 
@@ -387,6 +391,8 @@
         return balancer_->on_health_check(now, result.server, result.outcome, result.latency);
     ActiveRequest& active = requests_.at(result.request);
     --active.in_flight;
+    metrics_.on_attempt_end(result.outcome);
+    trace(TraceEvent::attempt_ended, result.request, result.attempt, result.server, name_of(result.outcome));
     if (result.written && proves_not_run(result.outcome) && --active.possible_runs == 0)
         active.may_have_run_since = 0;
     if (result.stream != 0 && !active.answered) {
@@ -397,7 +403,7 @@
             streams_.emplace(stream, client);
             clients_.begin_stream(client, std::move(head), stream, terms);
         });
-        finish(result.request);
+        finish(result.request, RequestEnd::streamed);
     } else if (result.stream != 0) {
         pool_.abandon_stream(result.stream);
     } else if (result.outcome == AttemptOutcome::succeeded && !active.answered) {
@@ -405,7 +411,7 @@
         respond(result.request, command.kind == Command::Kind::read
                                     ? format_value(command.id, result.body)
                                     : format_receipt(command.id, result.body));
-        finish(result.request);
+        finish(result.request, RequestEnd::served);
     }
     if (gossip_ != nullptr && !servers_.is_origin(servers_.at(result.server)))
         gossip_->on_attempt_finished(now, attempt_key(result.request, result.attempt),
@@ -530,6 +536,7 @@
     ActiveRequest& active = requests_.at(request);
     const int attempt = active.attempts++;
     ++active.in_flight;
+    trace(TraceEvent::attempt_started, request, attempt, server, {});
     action_queue_.emplace_back(
         [this, request, attempt, server, limit] { send_attempt(request, attempt, server, limit); });
 }
@@ -550,6 +557,8 @@
 }
 
 void Node::refuse_attempt(int request, int attempt, int server, SendRefusal refusal) {
+    metrics_.on_send_refused(refusal);
+    trace(TraceEvent::attempt_refused, request, attempt, server, name_of(refusal));
     if (refusal != SendRefusal::answered && refusal != SendRefusal::client_closed)
         log_.line(Topic::node, "attempt_refused",
                   "attempt " + std::to_string(attempt) + " of request " + requests_.at(request).command.id +
@@ -584,7 +593,12 @@
 
 // The attempt's connection may carry it now, perhaps late.
 void Node::send_on_connection(int request, int attempt, int server) {
-    if (check_attempt(request, server) != SendRefusal::none) return pool_.abandon(request, attempt);
+    const SendRefusal refusal = check_attempt(request, server);
+    if (refusal != SendRefusal::none) {
+        metrics_.on_send_refused(refusal);
+        trace(TraceEvent::attempt_refused, request, attempt, server, name_of(refusal));
+        return pool_.abandon(request, attempt);
+    }
     pool_.send(request, attempt, requests_.at(request).command);
 }
 
@@ -601,6 +615,7 @@
     if (time_left > active.deadline - now + kToldDeadlineSlack)
         violations_.report(Violation::deadline_too_long, ids());
     if (active.possible_runs++ == 0) active.may_have_run_since = now;
+    trace(TraceEvent::attempt_written, request, attempt, server, {});
 }
 
 void Node::cancel_attempt(int request, int attempt) {
@@ -609,12 +624,12 @@
 
 void Node::reject(int request, double retry_after) {
     respond(request, format_busy(retry_after));
-    finish(request);
+    finish(request, RequestEnd::rejected);
 }
 
 void Node::fail(int request) {
     respond(request, kFailed);
-    finish(request);
+    finish(request, RequestEnd::failed);
 }
 
 void Node::check_health(int server) {
@@ -648,13 +663,28 @@
 
 // ---- the end of a request -----------------------------------------------------------------------------
 
-void Node::finish(int request) {
+void Node::finish(int request, RequestEnd end) {
     ActiveRequest& active = requests_.at(request);
     if (active.answered) return;
     requests_.close(request);
     timers_.cancel(active.expiry_timer);
     finished_requests_.push_back(request);
     if (active.in_flight > 0) action_queue_.emplace_back([this, request] { cancel_half_sent(request); });
+    metrics_.on_request_end(end);
+    trace(TraceEvent::ended, request, RequestTrace::kNoAttempt, ServerTable::kUnknown, name_of(end));
+    const bool is_served = end == RequestEnd::served || end == RequestEnd::streamed;
+    if (is_served || end == RequestEnd::client_closed || !log_.admits(Topic::request)) return;
+    char text[160];
+    std::snprintf(text, sizeof text, "request %.40s %s after %.3f s of %.3f s, %d attempts",
+                  active.command.id.c_str(), std::string(name_of(end)).c_str(),
+                  monotonic_now() - active.received_at, active.deadline - active.received_at,
+                  active.attempts);
+    log_.line(Topic::request, "request_ended", text);
+}
+
+void Node::trace(TraceEvent event, int request, int attempt, int server, std::string_view detail) {
+    trace_.record(monotonic_now(), event, requests_.at(request).command.id, attempt,
+                  server == ServerTable::kUnknown ? std::string_view() : servers_.at(server).name, detail);
 }
 
 // Nobody waits for the request any more, so what has not begun of it must not begin.
@@ -677,10 +707,24 @@
         return gossip_ == nullptr ? admin_server_.respond(caller, 404, kNoFleet)
                                   : admin_server_.respond(caller, 200, gossip_->state_json(monotonic_now()));
     }
+    if (std::holds_alternative<MetricsQuery>(action))
+        return admin_server_.respond(caller, 200, metrics_page());
+    if (std::holds_alternative<TraceQuery>(action))
+        return admin_server_.respond(caller, 200, trace_.text(monotonic_now()));
     return accepts_clients_ ? admin_server_.respond(caller, 200, "ready")
                             : admin_server_.respond(caller, 503, "ends, and takes no new clients");
 }
 
+std::string Node::metrics_page() const {
+    return metrics_.page({{"brookrelay_open_requests", requests_.open_count()},
+                          {"brookrelay_client_connections", clients_.open_count()},
+                          {"brookrelay_server_connections", pool_.open_count()},
+                          {"brookrelay_known_servers", static_cast<double>(servers_.size())},
+                          {"brookrelay_budget_share", budget_share_},
+                          {"brookrelay_accepts_clients", accepts_clients_ ? 1.0 : 0.0}},
+                         clients_, violations_);
+}
+
 // The response is sent after the iteration in which the balancer learned of the change and acted on it.
 void Node::change_server_state(std::uint64_t caller, const std::string& name, bool drain) {
     event_queue_.emplace_back([this, caller, name, drain](double now) {
@@ -745,6 +789,7 @@
         char text[80];
         std::snprintf(text, sizeof text, "the wall clock was stepped by %.3f s", step);
         log_.line(Topic::node, "clock_stepped", text);
+        metrics_.on_clock_step();
         admin_state_.on_clock_step(step);
     }
     std::vector<std::string> changed = admin_state_.reload(wall_clock_.read().wall_now());
@@ -842,7 +887,7 @@
     for (const int request : requests_.open_requests()) {
         event_queue_.emplace_back([this, request](double then) {
             fail(request);
-            abandon_request(then, request);
+            abandon_request(then, request, RequestEnd::failed);
         });
     }
 }
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -30,7 +30,9 @@
 #include "io/timer_queue.h"
 #include "io/wall_clock.h"
 #include "proxy/graceful_shutdown.h"
+#include "proxy/metrics.h"
 #include "proxy/request_table.h"
+#include "proxy/request_trace.h"
 #include "proxy/server_table.h"
 #include "proxy/sibling_processes.h"
 #include "proxy/warm_start_file.h"
@@ -82,7 +84,7 @@
     void on_attempt_finished(double now, UpstreamPool::AttemptResult& result);
     static ClientConnections::StreamTerms stream_terms(const ActiveRequest& active, std::size_t length,
                                                        double now);
-    void abandon_request(double now, int request);
+    void abandon_request(double now, int request, RequestEnd end);
     void apply_endpoint_update(double now, UpdateKind kind, const EndpointUpdate& list);
     void on_registrations(const std::vector<RegistrationChange>& changes);
     void apply_operator_config(const OperatorConfig& operator_config);
@@ -95,7 +97,9 @@
     void on_attempt_write(int request, int attempt, int server, double time_left);
     void cancel_half_sent(int request);
     void respond(int request, std::string text);
-    void finish(int request);
+    void finish(int request, RequestEnd end);
+    void trace(TraceEvent event, int request, int attempt, int server, std::string_view detail);
+    std::string metrics_page() const;
     void check_shutdown();
     void fail_open_requests();
     void handle_admin_request(std::uint64_t caller, const HttpRequest& http_request);
@@ -116,6 +120,8 @@
     TimerQueue timers_;
     WallClock wall_clock_;
     ViolationCounter violations_;
+    Metrics metrics_;
+    RequestTrace trace_;
     std::unique_ptr<Balancer> balancer_;
     UpstreamPool pool_;
     ClientConnections clients_;
--- /dev/null
+++ b/src/proxy/request_trace.cpp
@@ -0,0 +1,51 @@
+#include "proxy/request_trace.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace brookrelay {
+namespace {
+
+constexpr std::array<const char*, 6> kEventNames{"received",        "attempt_started", "attempt_written",
+                                                 "attempt_refused", "attempt_ended",   "ended"};
+
+// Truncated, and always terminated by the array's last character.
+template <std::size_t kSize>
+void copy(std::array<char, kSize>& to, std::string_view from) {
+    to.fill(0);
+    std::copy_n(from.data(), std::min(from.size(), kSize - 1), to.data());
+}
+
+}  // namespace
+
+void RequestTrace::record(double now, TraceEvent event, std::string_view id, int attempt, std::string_view server,
+                          std::string_view detail) {
+    if (entries_.size() < kEvents) entries_.emplace_back();
+    Entry& entry = entries_[next_];
+    next_ = (next_ + 1) % kEvents;
+    entry.at = now;
+    entry.event = event;
+    entry.attempt = attempt;
+    copy(entry.id, id);
+    copy(entry.server, server);
+    entry.detail = detail;
+}
+
+std::string RequestTrace::text(double now) const {
+    std::string all;
+    const std::size_t first = entries_.size() < kEvents ? 0 : next_;
+    for (std::size_t i = 0; i < entries_.size(); ++i) {
+        const Entry& entry = entries_[(first + i) % entries_.size()];
+        std::array<char, 200> line{};
+        std::snprintf(line.data(), line.size(), "%.3f s ago, request %s: %s", now - entry.at, entry.id.data(),
+                      kEventNames[static_cast<std::size_t>(entry.event)]);
+        all += line.data();
+        if (entry.attempt != kNoAttempt)
+            all.append(" ").append(std::to_string(entry.attempt)).append(" at ").append(entry.server.data());
+        if (!entry.detail.empty()) all.append(", ").append(entry.detail);
+        all += "\n";
+    }
+    return all;
+}
+
+}  // namespace brookrelay
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -463,4 +463,38 @@
     wait_for([&] { return !snapshot().empty(); });  // it is written again
 }
 
+// The body of an operator's GET.
+std::string page(const Fleet& fleet, const std::string& target) {
+    Line line(own_loopback(), fleet.management());
+    line.send("GET " + target + " HTTP/1.1\r\nHost: node\r\n\r\n");
+    return line.until("\r\n\r\n") + line.until("no such text");
+}
+
+// What was served, refused and closed shows, and that no rule was broken.
+TEST(Operations, MetricsAndTraceTellWhatHappened) {
+    Fleet fleet(1, run_by_operators());
+    EXPECT_EQ(fleet.ask(read_of("7f3a", "m1")), "VA 5 Om1\r\n");
+    fleet.caches.front().plays([](const std::string&) { return Act{"SERVER_ERROR busy\r\n"}; });
+    EXPECT_TRUE(fleet.ask(read_of("7f3a", "m2", 300)).starts_with("SERVER_ERROR "));
+    const std::string metrics = page(fleet, "/metrics");
+    for (const char* line :
+         {"# TYPE brookrelay_requests_total counter\nbrookrelay_requests_total 2\n",
+          "brookrelay_request_ends_total{end=\"served\"} 1\n",
+          "brookrelay_request_ends_total{end=\"rejected\"} 1\n",
+          "brookrelay_attempts_total{outcome=\"succeeded\"} 1\n",
+          "brookrelay_client_connections_closed_total{reason=\"peer_closed\"} ",
+          "brookrelay_violations_total{kind=\"commands_lost\"} 0\n", "brookrelay_open_requests 0\n"})
+        EXPECT_NE(metrics.find(line), std::string::npos) << line << metrics;
+    const std::string trace = page(fleet, "/control/trace");
+    std::size_t at = 0;
+    for (const char* step : {"request m1: received", "request m1: attempt_started 0 at s-",
+                             "request m1: attempt_written 0 at s-", "request m1: attempt_ended 0 at s-",
+                             "request m1: ended, served", "request m2: ended, rejected"}) {
+        at = trace.find(step, at);
+        ASSERT_NE(at, std::string::npos) << step << "\n" << trace;
+    }
+    EXPECT_TRUE(fleet.logged("request m2 rejected after "));
+    EXPECT_EQ(Fleet::call(fleet.management(), "POST", "/metrics"), 405);
+}
+
 }  // namespace
