Soak: tight nodes, an origin that loses answers, pipelined requests longer than the silence timeout

Cause: planted mistakes that the soak did not find (held-back commands; repeats of writes): nodes had room for all commands, pipelined requests were shorter than the silence timeout, and the origin never lost an answer. A request number that was never used is no request.

--- a/src/audit/auditor.cpp
+++ b/src/audit/auditor.cpp
@@ -34,6 +34,7 @@
     RequestRecord& record = history_.requests[index(request)];
     record.info = info;
     record.received_at = now;
+    record.is_registered = true;
     if (info.is_counted) ++verdict_.requests;
     if (history_.users.size() <= index(info.user)) history_.users.resize(index(info.user) + 1);
     if (info.retry_number > 0) return;
@@ -302,8 +303,9 @@
 }
 
 Verdict Auditor::finish(double now) {
-    for (std::size_t request = 0; request < history_.requests.size(); ++request)
-        on_client_timeout(now, static_cast<int>(request));
+    for (std::size_t request = 0; request < history_.requests.size(); ++request) {
+        if (history_.requests[request].is_registered) on_client_timeout(now, static_cast<int>(request));
+    }
     Verdict verdict = verdict_;
     weigh_pending_violations(verdict);
     verdict.max_watcher_delay = max_watcher_delay_;
--- a/src/audit/history.h
+++ b/src/audit/history.h
@@ -42,6 +42,7 @@
 
 struct RequestRecord {
     RequestInfo info;
+    bool is_registered = false;  // false: a number that no client has used yet
     double received_at = 0;
     double ended_at = -1;  // -1: not ended
     double begun_at = -1;  // when the first bytes of a long value came; -1: none did
--- a/src/config/scenario.h
+++ b/src/config/scenario.h
@@ -37,6 +37,7 @@
     double fall_time = 2;       // ... for this long it stops; 0: never
     double halt = 3;            // for so long
     double limit_marked = 0.8;  // the part of its capacity that reports call its limit
+    double reset_ratio = 0;     // of its answers that are lost with their connection; by the soak alone
 };
 
 struct OperationPlan {
--- a/src/proxy/metrics.cpp
+++ b/src/proxy/metrics.cpp
@@ -18,7 +18,8 @@
         page_.append("# TYPE ").append(name).append(" ").append(type).append("\n");
     }
     void sample(std::string_view name, double value) { line(name, {}, {}, value); }
-    void sample(std::string_view name, std::string_view label, std::string_view label_value, std::uint64_t value) {
+    void sample(std::string_view name, std::string_view label, std::string_view label_value,
+                std::uint64_t value) {
         line(name, label, label_value, static_cast<double>(value));
     }
     void counter(std::string_view name, std::string_view help, std::uint64_t value) {
@@ -53,15 +54,18 @@
     page.begin("brookrelay_attempts_total", "counter", "Attempts ended, by outcome.");
     for (std::size_t i = 0; i < attempt_ends_.size(); ++i)
         page.sample("brookrelay_attempts_total", "outcome", kOutcomeNames[i], attempt_ends_[i]);
-    page.begin("brookrelay_attempts_refused_total", "counter", "Attempts that were not sent, by the guard's reason.");
+    page.begin("brookrelay_attempts_refused_total", "counter",
+               "Attempts that were not sent, by the guard's reason.");
     for (std::size_t i = 1; i < refusals_.size(); ++i)
         page.sample("brookrelay_attempts_refused_total", "reason", name_of(static_cast<SendRefusal>(i)),
                     refusals_[i]);
-    page.begin("brookrelay_client_connections_closed_total", "counter", "Connections of clients closed, by reason.");
+    page.begin("brookrelay_client_connections_closed_total", "counter",
+               "Connections of clients closed, by reason.");
     for (std::size_t i = 0; i < static_cast<std::size_t>(CloseReason::count); ++i)
-        page.sample("brookrelay_client_connections_closed_total", "reason", name_of(static_cast<CloseReason>(i)),
-                    clients.closed_count(static_cast<CloseReason>(i)));
-    page.begin("brookrelay_violations_total", "counter", "Rules that this process saw itself break, by kind.");
+        page.sample("brookrelay_client_connections_closed_total", "reason",
+                    name_of(static_cast<CloseReason>(i)), clients.closed_count(static_cast<CloseReason>(i)));
+    page.begin("brookrelay_violations_total", "counter",
+               "Rules that this process saw itself break, by kind.");
     for (std::size_t i = 0; i < static_cast<std::size_t>(Violation::count); ++i)
         page.sample("brookrelay_violations_total", "kind", name_of(static_cast<Violation>(i)),
                     violations.count(static_cast<Violation>(i)));
--- a/src/proxy/metrics.h
+++ b/src/proxy/metrics.h
@@ -1,5 +1,5 @@
-/// What the node counts of itself since it started, as a page in the Prometheus text exposition format (version
-/// 0.0.4). Counters only grow; gauges are passed in when the page is made. No I/O and no clock.
+/// What the node counts of itself since it started, as a page in the Prometheus text exposition format
+/// (version 0.0.4). Counters only grow; gauges are passed in when the page is made. No I/O and no clock.
 #pragma once
 
 #include <array>
--- a/src/proxy/request_trace.cpp
+++ b/src/proxy/request_trace.cpp
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-void RequestTrace::record(double now, TraceEvent event, std::string_view id, int attempt, std::string_view server,
-                          std::string_view detail) {
+void RequestTrace::record(double now, TraceEvent event, std::string_view id, int attempt,
+                          std::string_view server, std::string_view detail) {
     if (entries_.size() < kEvents) entries_.emplace_back();
     Entry& entry = entries_[next_];
     next_ = (next_ + 1) % kEvents;
--- a/src/proxy/request_trace.h
+++ b/src/proxy/request_trace.h
@@ -1,5 +1,5 @@
-/// The last events of requests, in a ring of fixed size: what happened to a request, with each of its attempts,
-/// can be read some seconds later. No I/O. Times are seconds on the monotonic clock.
+/// The last events of requests, in a ring of fixed size: what happened to a request, with each of its
+/// attempts, can be read some seconds later. No I/O. Times are seconds on the monotonic clock.
 #pragma once
 
 #include <array>
--- a/src/testkit/fake_origin_server.cpp
+++ b/src/testkit/fake_origin_server.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "testkit/fault_schedule.h"
+
 namespace brookrelay::testkit {
 namespace {
 constexpr double kLook = 0.1;  // s between looks at the push
@@ -128,6 +130,10 @@
     const auto found = peers_.find(peer);
     if (found == peers_.end()) return;
     Peer& p = found->second;
+    reset_draw_ = key_of_rank(reset_draw_ + static_cast<std::uint64_t>(forward));
+    if (static_cast<double>(reset_draw_ >> 11) <
+        environment_.scenario.origin.reset_ratio * 9007199254740992.0)
+        return p.conn->reset();
     for (auto& [waiting, said] : p.answers) {
         // NOLINTNEXTLINE(bugprone-use-after-move): one answer is waited for under this number
         if (waiting == forward) said = std::move(text);
--- a/src/testkit/fake_origin_server.h
+++ b/src/testkit/fake_origin_server.h
@@ -68,6 +68,7 @@
     double factor_ = 1;
     double halted_until_ = -1;
     Counts counts_;
+    std::uint64_t reset_draw_ = 0;
     Listener listener_;
 };
 
--- a/src/testkit/mannered_clients.cpp
+++ b/src/testkit/mannered_clients.cpp
@@ -28,7 +28,8 @@
 constexpr double kBadClientLimit = 3.0;  // s that a command which stops may stay before it is ended
 constexpr double kSlack = 0.15;
 constexpr std::size_t kLongValue = 150 * 1000;
-constexpr double kPipelinedWait = 1.8;                    // s
+constexpr double kPipelinedWait = 4.5;                    // s; longer than a silent client is kept
+constexpr double kMannerLimit = 6.5;                      // s; then a client goes on with another manner
 constexpr double kHastyLeast = 0.005, kHastyMost = 0.06;  // s that a hasty client waits
 
 }  // namespace
@@ -222,10 +223,10 @@
             break;
     }
     // Whatever is not over by then is the auditor's business; this client goes on.
-    after(4.5, [this] {
+    after(kMannerLimit, [this] {
         if (is_halting_ && !connection_->is_closed() && !was_paused())
             crowd_.complaints_.push_back("node " + std::to_string(node_) +
-                                         " keeps a client whose command stopped for more than 4 s");
+                                         " keeps a client whose command stopped for more than 6 s");
         drop_asked();
         close_connection();
         finish_manner(0.1);
--- a/src/testkit/soak.cpp
+++ b/src/testkit/soak.cpp
@@ -19,6 +19,8 @@
 constexpr double kNodeStartup = 1.0;  // s from the start of a process to the day's, about
 constexpr int kMemoryMegabytes = 96;
 constexpr int kDescriptors = 256;
+constexpr int kTightDescriptors = 72;  // so few let clients pipeline little, and hold each other back
+constexpr double kTightProbability = 0.4;
 constexpr int kClientsPerNode = 3;
 constexpr std::size_t kMaxFailures = 12;
 
@@ -55,7 +57,7 @@
     submit.share = 1.5;
     submit.origin_work = 6e-3;
     submit.promised.idempotency = Idempotency::idempotency_key;
-    submit.promised.deduplication_window = chance.between(1.2, 3);
+    submit.promised.deduplication_window = chance.between(0.9, 3);
     submit.promised.client_timeout = chance.between(0.8, 1.9);
     submit.promised.latency_objective = submit.promised.client_timeout / 2;
     return submit;
@@ -88,11 +90,12 @@
     s.warm_within = 4;
     s.fall_time = 1.0;
     s.origin.slots = 12;
+    s.origin.reset_ratio = chance.is(0.4) ? 0.08 : 0;
     s.discovery_asked = chance.is(0.3);
     s.ask_every = 4;
     s.discovery_lag = chance.between(0.05, 0.6);
     s.node_memory_mb = kMemoryMegabytes;
-    s.node_descriptors = kDescriptors;
+    s.node_descriptors = chance.is(kTightProbability) ? kTightDescriptors : kDescriptors;
     s.connect_timeout = chance.is(0.5) ? 0.25 : 0.6;
     s.connection_idle = chance.is(0.5) ? 1.5 : 15;
     s.operations = {read_operation(chance), keyed_write(chance), single_write(chance)};
--- a/tests/planted_soak.sh
+++ b/tests/planted_soak.sh
@@ -13,7 +13,7 @@
 mistakes=(
 'held-back commands are read on~downstream/client_connections.cpp~if (held_back_.empty() || resume_timer_.second != 0) return;~return;~downstream/client_connections.cpp~const bool is_read = !client.reading_stopped && client.held_back == HoldReason::none &&~const bool is_read = !client.reading_stopped &&'
 'the told deadline~upstream/upstream_pool.cpp~const double time_left = connection.deadline - monotonic_now();~const double time_left = connection.deadline - connection.sent_at + 0.4;'
-'nothing is sent for a client that left~proxy/node.cpp~facts.client_closed = clients_.has_closed(active.client);~facts.client_closed = false;~proxy/node.cpp~if (active.client == client && !active.answered) abandon_request~if (active.client == client && !active.answered && now < 0) abandon_request'
+'nothing is sent for a client that left~proxy/node.cpp~facts.client_closed = clients_.has_closed(active.client);~facts.client_closed = false;~proxy/node.cpp~if (active.client == client && !active.answered)~if (active.client == client && !active.answered && now < 0)'
 'nothing goes to a draining server~proxy/server_table.cpp~server.state = record.state;~if (record.state != EndpointState::draining) server.state = record.state;'
 'a keyed write is repeated in its window only~balancer/balancer.cpp~attempt.sent_at + op.deduplication_window)~attempt.sent_at + 1e9)~guard/send_guard.cpp~return facts.now + kHoldUpAllowance >= window_end ? SendRefusal::window_over : SendRefusal::none;~return facts.now > 1e9 * window_end ? SendRefusal::window_over : SendRefusal::none;'
 'an operation that may run once is not repeated~balancer/balancer.cpp~if (op.idempotency == Idempotency::none) return false;~if (op.idempotency == Idempotency::none) continue;~guard/send_guard.cpp~if (facts.idempotency == Idempotency::none) return SendRefusal::would_repeat;~if (facts.idempotency == Idempotency::none) return SendRefusal::none;'
@@ -45,12 +45,12 @@
 missed=0 tried=0 edited=()
 for number in "${!mistakes[@]}"; do
     [ "$only" = "  " ] || [[ $only == *" $number "* ]] || continue
-    IFS='~' read -r -d '' promise file1 stands1 planted1 file2 stands2 planted2 <<<"${mistakes[$number]}~"
+    IFS='~' read -r -d '' promise file1 stands1 planted1 file2 stands2 planted2 rest < <(printf '%s~~~~' "${mistakes[$number]}")
     for file in "${edited[@]}"; do restore "$file"; done
-    edited=("$file1" "${file2:-}")
+    edited=("$file1" "$file2")
     edit "$file1" "$stands1" "$planted1" || { echo "mistake $number: its place in $file1 is gone"; missed=$((missed + 1)); continue; }
-    if [ -n "${stands2:-}" ] && [ -n "${planted2%%~*}" ]; then
-        edit "$file2" "$stands2" "${planted2%%~*}" || { echo "mistake $number: its place in $file2 is gone"; missed=$((missed + 1)); continue; }
+    if [ -n "$file2" ]; then
+        edit "$file2" "$stands2" "$planted2" || { echo "mistake $number: its place in $file2 is gone"; missed=$((missed + 1)); continue; }
     fi
     cmake -S "$work/src" -B "$work/build" -DCMAKE_BUILD_TYPE=Release >/dev/null &&
         cmake --build "$work/build" -j"$(nproc)" --target brookrelay fault_shim >"$work/said" 2>&1 ||
