--- a/src/testkit/run_nodes.cpp
+++ b/src/testkit/run_nodes.cpp
@@ -125,7 +125,10 @@
 
 void ScenarioRun::terminate_node(int node) {
     Node& n = nodes_[index(node)];
-    if (std::exchange(n.is_restarting, true)) return mark("node " + std::to_string(node) + " ends already");
+    // One that has only just started ends by the signal, since it does not listen for it yet.
+    if (!n.ready) return mark("node " + std::to_string(node) + " does not serve yet, or ends already");
+    n.is_restarting = true;
+    n.ready = false;
     n.daemon->expected_to_end = true;
     n.daemon->signal(SIGTERM);
     double longest = 0;
--- a/src/testkit/shim/fault_shim.cpp
+++ b/src/testkit/shim/fault_shim.cpp
@@ -13,7 +13,6 @@
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
-#include <time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -23,6 +22,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <ctime>
 #include <initializer_list>
 #include <set>
 #include <vector>
--- a/src/testkit/wire.cpp
+++ b/src/testkit/wire.cpp
@@ -155,7 +155,7 @@
 }
 
 bool has_begun_long_value(std::string_view in) {
-    constexpr std::size_t kLongValue = 64 * 1024;
+    constexpr std::size_t kLongValue = std::size_t{64} * 1024;
     const std::size_t end = in.find("\r\n");
     if (end == std::string_view::npos) return false;
     std::string_view line = in.substr(0, end);
