--- a/tests/bad_daemon.cpp
+++ b/tests/bad_daemon.cpp
@@ -2,6 +2,7 @@
 // client, which does what BAD_DAEMON says ("" is none, the control). Nothing of the real daemon is in it.
 #include <rapidjson/document.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
@@ -83,16 +84,29 @@
 }
 
 struct Asked {
+    std::chrono::steady_clock::time_point came = std::chrono::steady_clock::now();
     std::string line, key, id, list, value;
     bool write = false;
 };
 
+// The text with its `d` lowered by the time since the command came: of all rules only the planted one is
+// broken.
+std::string with_time_left(const std::string& text, std::chrono::steady_clock::time_point came) {
+    const std::size_t at = text.find(",d=");
+    if (at == std::string::npos) return text;
+    const std::size_t from = at + 3, end = std::min(text.find_first_of(", \r", from), text.size());
+    const auto passed = std::chrono::steady_clock::now() - came;
+    const long long left = std::stoll(text.substr(from, end - from)) -
+                           std::chrono::duration_cast<std::chrono::milliseconds>(passed).count();
+    return text.substr(0, from) + std::to_string(std::max(1LL, left)) + text.substr(end);
+}
+
 // "" if it was no hit.
 std::string from_cache(const Asked& a) {
     const std::string address = choose(a.key, false);
     Stream s(host_of(address), port_of(address));
     s.expires_after(std::chrono::milliseconds(400));
-    s << a.line << "\r\n" << std::flush;
+    s << with_time_left(a.line, a.came) << "\r\n" << std::flush;
     std::string head;
     std::getline(s, head);
     if (!head.starts_with("VA ")) return "";
@@ -106,7 +120,8 @@
     Stream s(host_of(address), port_of(address));
     s.expires_after(std::chrono::milliseconds(600));
     s << (a.write ? "PUT /" : "GET /") << a.key << " HTTP/1.1\r\nHost: o\r\nX-Trace-Id: " << a.id
-      << "\r\nX-Props: " << a.list << "\r\nContent-Length: " << a.value.size() << "\r\n\r\n"
+      << "\r\nX-Props: " << with_time_left(a.list, a.came) << "\r\nContent-Length: " << a.value.size()
+      << "\r\n\r\n"
       << a.value << std::flush;
     std::string line;
     std::getline(s, line);
