--- a/src/cli/soak.cpp
+++ b/src/cli/soak.cpp
@@ -108,6 +108,7 @@
     for (const std::uint64_t seed : testkit::read_seeds(command.seeds)) {
         if (command.minutes > 0 && seconds_now() - started > command.minutes * 60) break;
         options.folder = folder + "/seed-" + std::to_string(seed);
+        fs::remove_all(options.folder);  // the logs of an earlier play would be judged with this one's
         fs::create_directories(options.folder);
         const std::string report = options.folder + "/report.txt";
         const pid_t child = fork();
