Violations that nothing reported are checked or gone; no begun attempt is given up unasked

Cause, found in the last read: window_passed and answered_late were shown among the metrics and never reported, so that they could not fail; and cancel_half_sent gave up attempts that were written whole and not acknowledged also where the settings permit no cancelling. Change: window_passed, and a repeat of what may run once, are checked at each write; answered_late is gone, as the expiry timer ends such requests; a begun attempt is cancelled only where the settings permit it.

--- a/src/guard/violations.cpp
+++ b/src/guard/violations.cpp
@@ -7,8 +7,7 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Violation::count)> kNames{
-    "sent_unasked",        "deadline_too_long", "commands_lost",
-    "closed_while_in_use", "answered_late",     "window_passed"};
+    "sent_unasked", "deadline_too_long", "commands_lost", "closed_while_in_use", "window_passed"};
 
 }  // namespace
 
--- a/src/guard/violations.h
+++ b/src/guard/violations.h
@@ -16,7 +16,6 @@
     deadline_too_long,    ///< a server was told more time than the client has left
     commands_lost,        ///< commands were read and their connection closed without their responses
     closed_while_in_use,  ///< a connection was closed as idle while it held something of its client's
-    answered_late,        ///< a request had no final answer by its deadline and grace
     window_passed,        ///< a retry was sent after its idempotency key may be forgotten
     count                 ///< the number of kinds
 };
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -614,6 +614,12 @@
         violations_.report(Violation::sent_unasked, ids());
     if (time_left > active.deadline - now + kToldDeadlineSlack)
         violations_.report(Violation::deadline_too_long, ids());
+    const bool repeats = active.possible_runs > 0;
+    if (repeats && active.operation.idempotency == Idempotency::none)
+        violations_.report(Violation::sent_unasked, ids());
+    if (repeats && active.operation.idempotency == Idempotency::idempotency_key &&
+        now >= active.may_have_run_since + active.operation.deduplication_window)
+        violations_.report(Violation::window_passed, ids());
     if (active.possible_runs++ == 0) active.may_have_run_since = now;
     trace(TraceEvent::attempt_written, request, attempt, server, {});
 }
@@ -690,7 +696,8 @@
 // Nobody waits for the request any more, so what has not begun of it must not begin.
 void Node::cancel_half_sent(int request) {
     const int attempts = requests_.at(request).attempts;
-    for (int attempt = 0; attempt < attempts; ++attempt) pool_.cancel_half_sent(request, attempt);
+    const bool may_cancel = config_.deployment.may_cancel;
+    for (int attempt = 0; attempt < attempts; ++attempt) pool_.cancel_half_sent(request, attempt, may_cancel);
 }
 
 // ---- the admin interface -----------------------------------------------------------------------------
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -298,12 +298,13 @@
 }
 
 // A request begins with its last byte. What is written and not acknowledged may still be on its way.
-void UpstreamPool::cancel_half_sent(int request, int attempt) {
+void UpstreamPool::cancel_half_sent(int request, int attempt, bool may_cancel) {
     const auto entry = in_flight_.find(attempt_key(request, attempt));
     if (entry == in_flight_.end()) return;
     Connection& connection = *entry->second;
     const bool begun = is_fully_sent(connection);
-    if (!connection.written || (begun && !connection.socket->has_unacknowledged_output())) return;
+    if (!connection.written) return;
+    if (begun && (!may_cancel || !connection.socket->has_unacknowledged_output())) return;
     finish_attempt(connection, begun ? AttemptOutcome::cancelled : AttemptOutcome::not_sent);
     close(connection);
 }
--- a/src/upstream/upstream_pool.h
+++ b/src/upstream/upstream_pool.h
@@ -95,9 +95,9 @@
     void abandon(int request, int attempt);
     /// Ends an attempt and closes its connection. No effect if the attempt has already ended.
     void cancel(int request, int attempt);
-    /// Cancels an attempt of which a part is written and the rest is not yet on its way to the server, so
-    /// that it does not begin later. No effect on others.
-    void cancel_half_sent(int request, int attempt);
+    /// Cancels an attempt of which a part is written, so that it does not begin later. One that is written
+    /// whole and only not acknowledged may have begun: it is cancelled if `may_cancel`. No effect on others.
+    void cancel_half_sent(int request, int attempt, bool may_cancel);
     /// Continues a stream whose sink had no capacity.
     void resume(std::uint64_t stream);
     /// Closes the connection of a stream whose remaining body is not wanted; BodySink::end is not called.
