Log what a long iteration was spent on; metrics of lists, sends and iterations

Change: IterationMonitor logs each iteration over 50 ms (slow_iteration) with the work counted in it: events, actions, list entries, servers, ring points, connections, bytes of files. Metrics: lists, their bytes and seconds from first byte to applied; sends and the age of the endpoints at each; a histogram of iterations. Balancer::work() counts what it looks at.

--- a/src/admin/admin_state.cpp
+++ b/src/admin/admin_state.cpp
@@ -197,6 +197,7 @@
     std::ifstream file(directory_ + "/listed");
     const std::string wanted = percent_encoded(name);
     for (std::string line; std::getline(file, line);) {
+        listed_bytes_read_ += line.size() + 1;
         if (line == wanted) return true;
     }
     return false;
--- a/src/admin/admin_state.h
+++ b/src/admin/admin_state.h
@@ -10,6 +10,7 @@
 // where the caller can act on them.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -50,6 +51,8 @@
     void retry_listed();
     // Whether any process of the node has recorded the name.
     bool was_ever_listed(const std::string& name) const;
+    // Bytes of the file of listed names that were read so far; only grows.
+    std::uint64_t listed_bytes_read() const { return listed_bytes_read_; }
 
   private:
     std::string path(std::string_view prefix, const std::string& name) const;
@@ -59,6 +62,7 @@
 
     std::string directory_;
     std::unordered_map<std::string, ServerState> states_;
+    mutable std::uint64_t listed_bytes_read_ = 0;
     std::unordered_set<std::string> listed_in_memory_;  // names that are not in the `listed` file
 };
 
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -189,6 +189,7 @@
         origin_limiter_.limit = std::clamp(kInitialOriginLimit / std::max(1, deployment.node_count),
                                            kMinLimit, kMaxInitialOriginLimit);
     }
+    const BalancerWork& work() const override { return work_; }
     // What this node learned of servers and of its traffic stays; weights and load are learned anew from the
     // endpoint list that follows.
     void on_configuration(double, const Deployment& deployment) override {
@@ -303,6 +304,7 @@
             server.listed_weight = e.weight;
             server.visit_mark = update_generation_;
         }
+        work_.servers += entries.size() + servers_.size();
         for (Server& server : servers_) {
             if (kind != UpdateKind::delta && server.visit_mark != update_generation_)
                 server.state = EndpointState::removed;
@@ -508,7 +510,9 @@
                 added.back().push_back(point);
             }
         }
+        work_.servers += 2 * servers_.size();
         for (std::size_t z = 0; z < rings_.size(); ++z) {
+            work_.ring_points += (left ? 2 : 1) * rings_[z].size() + added[z].size();
             if (left) rings_[z].remove_if([&](const RingPoint& p) { return !stays(server_at(p.server)); });
             rings_[z].insert(std::move(added[z]), before);
         }
@@ -550,6 +554,7 @@
         bool declined = false;
         for (std::size_t steps = 0; steps < ring.size() && seen < members; ++steps, ++p) {
             if (p == ring.end()) p = ring.begin();
+            ++work_.ring_points;
             Server& server = server_at(p->server);
             if (server.visit_mark == walk_mark_) continue;
             server.visit_mark = walk_mark_;
@@ -688,6 +693,7 @@
     // has none: this node's part of a server's capacity. Servers without a recent response count too.
     double responses_per_warm_point(int zone, double now) {
         std::array<double, 2> answers{}, points{};
+        work_.servers += servers_.size();
         for (Server& server : servers_) {
             if (server.is_origin || server.state != EndpointState::ready || slow_start_ratio(server, now) < 1)
                 continue;
@@ -1158,6 +1164,7 @@
     std::ranlux24_base random_;
     std::uint64_t node_seed_;  // for draws that differ from other nodes'
     std::vector<Server> servers_;
+    BalancerWork work_;
     std::vector<HashRing> rings_;
     std::vector<int> ring_servers_, ring_in_flight_;  // servers on each ring, and attempts in flight there
     double reference_weight_ = 0;                     // by the first list that gave weights; 0: none does
--- a/src/balancer/balancer.h
+++ b/src/balancer/balancer.h
@@ -136,10 +136,18 @@
     virtual bool admit_slow_start(int /*server*/) { return true; }
 };
 
+/// How much the balancer has looked at since it was made. Both counts only grow; what an event added to them
+/// is its cost, whatever the machine and its load.
+struct BalancerWork {
+    std::uint64_t servers = 0;      ///< entries of the server table
+    std::uint64_t ring_points = 0;  ///< points of hash rings that were compared, moved or passed in a search
+};
+
 /// The events of one node. `now` never goes back.
 class Balancer {
   public:
     virtual ~Balancer() = default;
+    virtual const BalancerWork& work() const = 0;
     virtual void on_endpoints(double now, UpdateKind kind, const std::vector<Endpoint>& entries) = 0;
     virtual void on_poll_failed(double now) = 0;
     virtual void on_request(double now, const Request& request) = 0;
--- a/src/config/node_config.h
+++ b/src/config/node_config.h
@@ -35,6 +35,8 @@
     bool is_full = false;
     std::vector<EndpointRecord> servers;
     std::vector<std::string> errors;  // one for each invalid entry, which is skipped
+    std::size_t size = 0;             // bytes as received; 0: not received from discovery
+    double first_byte_at = 0;         // monotonic, s; when the first of them was read
 };
 
 // The keys that a file gives, by the path to each object. Entries of a list may be added and removed, so a
--- a/src/discovery/endpoint_watch.cpp
+++ b/src/discovery/endpoint_watch.cpp
@@ -63,6 +63,7 @@
 void EndpointWatch::send_request() {
     if (connection_ == nullptr || !connection_->is_connected()) connect();
     request_pending_ = true;
+    first_byte_at_ = 0;
     std::string target = "/discovery/hosts";
     double timeout = kFullListTimeout;
     if (version_ >= 0) {
@@ -99,6 +100,7 @@
 }
 
 void EndpointWatch::read_response(bool ended) {
+    if (first_byte_at_ == 0) first_byte_at_ = monotonic_now();
     HttpResponse response;
     const std::size_t response_size =
         parse_http_response(connection_->input(), kMaxListSize, response, ended);
@@ -136,6 +138,8 @@
     retry_delay_ = kMinRetryDelay;
     last_request_timed_out_ = false;
     version_ = update.version;
+    update.size = response_size;
+    update.first_byte_at = first_byte_at_;
     on_update_(std::move(update));
     if (!response.keep_alive) connection_->close();
     // From the event loop, and not from inside the connection that the request may replace.
--- a/src/discovery/endpoint_watch.h
+++ b/src/discovery/endpoint_watch.h
@@ -56,6 +56,7 @@
     bool request_pending_ = false;
     bool last_request_timed_out_ = false;  // at least one request since the last answer
     bool watching_ = false;
+    double first_byte_at_ = 0;  // of the response under way, monotonic; 0: none has come
     TimerQueue::Handle request_timer_;
     TimerQueue::Handle retry_timer_;  // the next request, or the next attempt after a failure
     double retry_delay_;
--- a/src/proxy/metrics.cpp
+++ b/src/proxy/metrics.cpp
@@ -1,5 +1,6 @@
 #include "proxy/metrics.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace brookrelay {
@@ -44,8 +45,21 @@
 std::string_view name_of(RequestEnd end) { return kRequestEnds[static_cast<std::size_t>(end)]; }
 std::string_view name_of(AttemptOutcome outcome) { return kOutcomeNames[static_cast<std::size_t>(outcome)]; }
 
+void Metrics::on_list(std::size_t size, double latency) {
+    ++lists_;
+    list_bytes_ += size;
+    list_seconds_ += latency;
+    longest_list_ = std::max(longest_list_, latency);
+}
+
+void Metrics::on_send(double age) {
+    ++sends_;
+    send_list_age_ += age;
+    oldest_send_list_ = std::max(oldest_send_list_, age);
+}
+
 std::string Metrics::page(const Gauges& gauges, const ClientConnections& clients,
-                          const ViolationCounter& violations) const {
+                          const ViolationCounter& violations, const IterationMonitor& iterations) const {
     PageWriter page;
     page.counter("brookrelay_requests_total", "Requests taken up.", requests_);
     page.begin("brookrelay_request_ends_total", "counter", "Requests ended, by how.");
@@ -73,6 +87,30 @@
     page.counter("brookrelay_pauses_total", "Times that the process was held up.", pauses_);
     page.counter("brookrelay_reloads_taken_total", "Configurations taken over.", reloads_taken_);
     page.counter("brookrelay_reloads_refused_total", "Configurations refused.", reloads_refused_);
+    page.counter("brookrelay_lists_total", "Endpoint updates that were applied.", lists_);
+    page.counter("brookrelay_list_bytes_total", "Their bytes.", list_bytes_);
+    page.begin("brookrelay_list_seconds_total", "counter",
+               "From an update's first byte until it was applied.");
+    page.sample("brookrelay_list_seconds_total", list_seconds_);
+    page.begin("brookrelay_list_seconds_max", "gauge", "The longest of these.");
+    page.sample("brookrelay_list_seconds_max", longest_list_);
+    page.counter("brookrelay_sends_total", "Attempts written.", sends_);
+    page.begin("brookrelay_send_list_age_seconds_total", "counter",
+               "Since the endpoints were last confirmed, when an attempt was written.");
+    page.sample("brookrelay_send_list_age_seconds_total", send_list_age_);
+    page.begin("brookrelay_send_list_age_seconds_max", "gauge", "The longest of these.");
+    page.sample("brookrelay_send_list_age_seconds_max", oldest_send_list_);
+    page.begin("brookrelay_iteration_seconds", "histogram", "Iterations of the event loop, by their length.");
+    std::uint64_t up_to = 0;
+    for (std::size_t i = 0; i < iterations.histogram().size(); ++i) {
+        up_to += iterations.histogram()[i];
+        std::array<char, 16> bound{"+Inf"};
+        if (i < IterationMonitor::kBucketBounds.size())
+            std::snprintf(bound.data(), bound.size(), "%g", IterationMonitor::kBucketBounds[i]);
+        page.sample("brookrelay_iteration_seconds_bucket", "le", bound.data(), up_to);
+    }
+    page.sample("brookrelay_iteration_seconds_sum", iterations.total_seconds());
+    page.sample("brookrelay_iteration_seconds_count", static_cast<double>(up_to));
     for (const auto& [name, value] : gauges) {
         page.begin(name, "gauge", "Present value.");
         page.sample(name, value);
--- a/src/proxy/metrics.h
+++ b/src/proxy/metrics.h
@@ -14,6 +14,7 @@
 #include "downstream/client_connections.h"
 #include "guard/send_guard.h"
 #include "guard/violations.h"
+#include "proxy/iteration_monitor.h"
 
 namespace brookrelay {
 
@@ -32,16 +33,22 @@
     void on_send_refused(SendRefusal refusal) { ++refusals_[static_cast<std::size_t>(refusal)]; }
     void on_clock_step() { ++clock_steps_; }
     void on_pause() { ++pauses_; }
+    /// A list was applied: `size` bytes, `latency` seconds after the first of them was read.
+    void on_list(std::size_t size, double latency);
+    /// An attempt is written, `age` seconds after endpoints were confirmed last by their source.
+    void on_send(double age);
     void on_reload(bool taken) { ++(taken ? reloads_taken_ : reloads_refused_); }
 
     /// The present values of what goes up and down, by metric name.
     using Gauges = std::vector<std::pair<std::string_view, double>>;
     std::string page(const Gauges& gauges, const ClientConnections& clients,
-                     const ViolationCounter& violations) const;
+                     const ViolationCounter& violations, const IterationMonitor& iterations) const;
 
   private:
     static constexpr std::size_t kOutcomes = static_cast<std::size_t>(AttemptOutcome::miss) + 1;
     static constexpr std::size_t kRefusals = static_cast<std::size_t>(SendRefusal::over_quota) + 1;
+    std::uint64_t lists_ = 0, list_bytes_ = 0, sends_ = 0;
+    double list_seconds_ = 0, longest_list_ = 0, send_list_age_ = 0, oldest_send_list_ = 0;  // s
     std::uint64_t requests_ = 0, clock_steps_ = 0, pauses_ = 0, reloads_taken_ = 0, reloads_refused_ = 0;
     std::array<std::uint64_t, static_cast<std::size_t>(RequestEnd::count)> request_ends_{};
     std::array<std::uint64_t, kOutcomes> attempt_ends_{};
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -197,6 +197,7 @@
     if (!config_.admin_listen.empty() && !admin_server_.listen(config_.admin_listen, error))
         throw BindError("field 'management': " + error);
     iteration_started_at_ = monotonic_now();
+    endpoints_confirmed_at_ = iteration_started_at_;
     const std::vector<std::string> by_hand = admin_state_.reload(wall_clock_.read().wall_now());
     event_queue_.emplace_back([this, by_hand](double now) {
         apply_endpoint_update(now, UpdateKind::cached_on_disk, config_.cached_endpoints);
@@ -224,17 +225,31 @@
     (void)arrival_time();
     const double now = monotonic_now();
     iteration_started_at_ = now;
+    iteration_monitor_.begin(now, work_done());
     std::vector<Event> events;
     events.swap(event_queue_);
+    work_.events += events.size();
     for (const Event& happening : events) happening(now);
     std::vector<std::function<void()>> actions;
     actions.swap(action_queue_);
+    work_.actions += actions.size();
     for (const auto& action : actions) action();
     for (const int request : finished_requests_) requests_.release(request);
     finished_requests_.clear();
     pool_.destroy_closed();
     clients_.destroy_closed();
     admin_server_.destroy_closed();
+    const std::string complaint = iteration_monitor_.end(monotonic_now(), work_done());
+    if (!complaint.empty()) log_.line(Topic::node, "slow_iteration", complaint);
+}
+
+IterationWork Node::work_done() const {
+    IterationWork work = work_;
+    work.servers += balancer_->work().servers;
+    work.ring_points = balancer_->work().ring_points;
+    work.connections = pool_.searched_connections();
+    work.file_bytes = admin_state_.listed_bytes_read();
+    return work;
 }
 
 // Anything that speaks against the new configuration is found before a part of it is applied. Events so far
@@ -426,6 +441,8 @@
     std::vector<Endpoint> entries;
     std::unordered_set<int> listed_servers;
     std::vector<std::string> first_seen;
+    work_.list_entries += list.servers.size();
+    work_.servers += servers_.size();
     for (const EndpointRecord& record : list.servers) {
         // The removal of a server that is unknown, or evicted by now, must not add it.
         if (record.state == EndpointState::removed && !servers_.contains(record.name)) continue;
@@ -457,7 +474,12 @@
                       (list.is_full ? " (whole list)" : ""));
     }
     if (!first_seen.empty()) admin_state_.record_listed(first_seen);
-    if (kind != UpdateKind::cached_on_disk) servers_.on_list_applied(now);
+    if (kind != UpdateKind::cached_on_disk) {
+        servers_.on_list_applied(now);
+        const double applied_at = monotonic_now();
+        endpoints_confirmed_at_ = applied_at;
+        if (list.size > 0) metrics_.on_list(list.size, applied_at - list.first_byte_at);
+    }
     balancer_->on_endpoints(now, kind, entries);
     evict_removed_servers();
     publish_endpoints();
@@ -621,6 +643,7 @@
         now >= active.may_have_run_since + active.operation.deduplication_window)
         violations_.report(Violation::window_passed, ids());
     if (active.possible_runs++ == 0) active.may_have_run_since = now;
+    metrics_.on_send(now - endpoints_confirmed_at_);
     trace(TraceEvent::attempt_written, request, attempt, server, {});
 }
 
@@ -729,7 +752,7 @@
                           {"brookrelay_known_servers", static_cast<double>(servers_.size())},
                           {"brookrelay_budget_share", budget_share_},
                           {"brookrelay_accepts_clients", accepts_clients_ ? 1.0 : 0.0}},
-                         clients_, violations_);
+                         clients_, violations_, iteration_monitor_);
 }
 
 // The response is sent after the iteration in which the balancer learned of the change and acted on it.
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -30,6 +30,7 @@
 #include "io/timer_queue.h"
 #include "io/wall_clock.h"
 #include "proxy/graceful_shutdown.h"
+#include "proxy/iteration_monitor.h"
 #include "proxy/metrics.h"
 #include "proxy/request_table.h"
 #include "proxy/request_trace.h"
@@ -100,6 +101,7 @@
     void finish(int request, RequestEnd end);
     void trace(TraceEvent event, int request, int attempt, int server, std::string_view detail);
     std::string metrics_page() const;
+    IterationWork work_done() const;
     void check_shutdown();
     void fail_open_requests();
     void handle_admin_request(std::uint64_t caller, const HttpRequest& http_request);
@@ -121,6 +123,8 @@
     WallClock wall_clock_;
     ViolationCounter violations_;
     Metrics metrics_;
+    IterationMonitor iteration_monitor_;
+    IterationWork work_;  // of the node itself; work_done() adds that of its parts
     RequestTrace trace_;
     std::unique_ptr<Balancer> balancer_;
     UpstreamPool pool_;
@@ -141,9 +145,10 @@
     ServerTable servers_;
     std::unique_ptr<SiblingProcesses> sibling_processes_;  // null: the listener is not shared
     double iteration_started_at_ = 0;
-    double paused_since_ = 0;    // when the last process pause began,
-    double catch_up_until_ = 0;  // and until when what is read counts as received then
-    double budget_share_ = 1;    // this process's part of the node's budget
+    double endpoints_confirmed_at_ = 0;  // when their source last said that they are current
+    double paused_since_ = 0;            // when the last process pause began,
+    double catch_up_until_ = 0;          // and until when what is read counts as received then
+    double budget_share_ = 1;            // this process's part of the node's budget
     TimerQueue::Handle eviction_timer_;
     GracefulShutdown shutdown_;
     bool done_ = false;
--- a/src/testkit/scripted_peer.cpp
+++ b/src/testkit/scripted_peer.cpp
@@ -174,6 +174,10 @@
         if (!act.text.empty()) line.send(act.text);
         if (act.wait) act.wait();
         if (!act.rest.empty()) line.send(act.rest);
+        for (std::size_t i = 0; i < act.pieces.size() && !ending_; ++i) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(act.piece_interval_ms));
+            line.send(act.pieces[i]);
+        }
         if (act.reset) line.reset();
         if (act.close || act.reset) break;
     }
--- a/src/testkit/scripted_peer.h
+++ b/src/testkit/scripted_peer.h
@@ -39,13 +39,16 @@
     std::string in_;
 };
 
-// The response to one message: sends a text, may wait and send the rest, and may then close.
+// The response to one message: sends a text, may wait and send the rest, then pieces one after another, and
+// may then close.
 struct Act {
     std::string text;
     bool close = false;
     std::function<void()> wait = {};
     std::string rest = {};
     bool reset = false;  // closes with a TCP reset
+    std::vector<std::string> pieces = {};
+    int piece_interval_ms = 0;  // before each piece
 };
 
 class ScriptedPeer {
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -71,6 +71,7 @@
 }
 
 bool UpstreamPool::in_use(int server_id) const {
+    searched_connections_ += connections_.size();
     return std::any_of(connections_.begin(), connections_.end(), [server_id](const Connection& connection) {
         return connection.server == server_id && !connection.socket->is_closed();
     });
@@ -544,6 +545,7 @@
 // Called when a server starts draining: attempts not sent by then must not be sent to it any more.
 void UpstreamPool::close_unstarted(int server_id) {
     close_idle(server_id);
+    searched_connections_ += connections_.size();
     for (Connection& connection : connections_) {
         if (connection.server == server_id && connection.busy && !connection.written)
             on_broken(connection, AttemptOutcome::refused);
--- a/src/upstream/upstream_pool.h
+++ b/src/upstream/upstream_pool.h
@@ -106,6 +106,8 @@
     /// Closes the server's idle connections and refuses its attempts that are not sent yet.
     void close_unstarted(int server_id);
     int open_count() const { return static_cast<int>(open_count_); }
+    /// Connections that searches have passed so far; only grows.
+    std::uint64_t searched_connections() const { return searched_connections_; }
     double connect_timeout() const { return connect_timeout_; }
     /// Limits the pool to this share (0 to 1) of its connections and bytes; a sibling process uses the rest.
     void set_budget_share(double share);
@@ -188,6 +190,7 @@
     std::vector<Server> servers_;
     std::list<Connection> connections_;
     std::size_t open_count_ = 0;
+    mutable std::uint64_t searched_connections_ = 0;
     bool has_closed_ = false;
     int next_health_check_ = 0;
     std::unordered_map<std::uint64_t, Connection*> in_flight_;
