--- a/tests/ring_test.cpp
+++ b/tests/ring_test.cpp
@@ -2,6 +2,7 @@
 // on either side.
 #include <gtest/gtest.h>
 
+#include <cstdint>
 #include <map>
 
 #include "host.h"
@@ -211,4 +212,44 @@
     }
 }
 
+// In a fleet of thousands each change costs what it changes, counted by what is looked at: a node's sockets
+// wait meanwhile.
+constexpr int kLargeFleet = 3200;
+constexpr std::uint64_t kPointsOfAServer = 100;
+
+TEST(LargeFleet, AChangeOfOneServerTouchesItsPointsAlone) {
+    Fleet fleet(kLargeFleet, 3);
+    fleet.start();
+    const std::uint64_t before = fleet.node->work().ring_points;
+    Endpoint one = fleet.list[7];
+    one.state = EndpointState::draining;
+    fleet.node->on_endpoints(fleet.now, UpdateKind::delta, {one});
+    // Its points, and what lies beside each of them.
+    EXPECT_LT(fleet.node->work().ring_points - before, 300 * kPointsOfAServer);
+}
+
+TEST(LargeFleet, AFullListThatChangesNothingTouchesNoPoint) {
+    Fleet fleet(kLargeFleet, 3);
+    fleet.start();
+    const std::uint64_t before = fleet.node->work().ring_points;
+    fleet.tell(UpdateKind::full);
+    EXPECT_LT(fleet.node->work().ring_points - before, kPointsOfAServer);
+}
+
+TEST(LargeFleet, ARequestBeforeColdServersLooksAtEachServerAFewTimesAtMost) {
+    Fleet fleet(kLargeFleet, 3);
+    fleet.deployment.node_count = 300;
+    for (Endpoint& endpoint : fleet.list) {
+        if (endpoint.server != kOrigin) endpoint.started_at = fleet.now;
+    }
+    fleet.start();
+    constexpr int kRequests = 20;
+    const std::uint64_t before = fleet.node->work().servers;
+    for (int i = 0; i < kRequests; ++i) {
+        fleet.now += 0.02;
+        fleet.arrive(static_cast<std::uint64_t>(i) * 7919);
+    }
+    EXPECT_LT(fleet.node->work().servers - before, std::uint64_t{kRequests} * 4 * kLargeFleet);
+}
+
 }  // namespace
