Ring changes cost their points; responses of warm servers are summed once a moment

Cause: update_rings filtered, sorted and merged all points of two rings at each list (1,280,000 looked at for a change of one of 3,200 servers), and every cold candidate of a request walked all servers (76,980,849 for twenty requests). Change: a ring is cut into 1,024 arcs; servers that come or go touch their points alone. The ring of all zones is a walk over the zones' rings in place of a copy. The sums over warm servers are kept until the time or what they count changes. The order of points is as before.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -5,10 +5,10 @@
 #include "balancer/balancer.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <random>
 #include <utility>
 
@@ -197,6 +197,7 @@
         apply_configuration(deployment);
         for (Server& server : servers_) {
             server.ring = -1;
+            server.points = 0;
             if (!same_sizes) server.share = 1;
         }
         if (same_sizes) return;
@@ -275,42 +276,28 @@
     }
     void on_endpoints(double, UpdateKind kind, const std::vector<Endpoint>& entries) override {
         ++update_generation_;
-        for (const Endpoint& e : entries) {
-            if (e.server >= static_cast<int>(servers_.size()))
-                servers_.resize(static_cast<std::size_t>(e.server) + 1);
-            Server& server = server_at(e.server);
-            const double start = e.started_at > 0 ? e.started_at : -1e9;
-            if (start > server.started_at + 0.001 || server.hash != hash_text(e.name, kRingSeed)) {
-                // Restarted, or another server under this id: nothing known of the old one holds.
-                Server fresh;
-                fresh.in_flight = server.in_flight;
-                fresh.ring = server.ring;
-                fresh.points = server.points;
-                fresh.started_at = start;
-                server = fresh;
-            }
-            server.slow_start_attempts.set_length(deployment_.overload_window);
-            server.hash = hash_text(e.name, kRingSeed);
-            server.zone = std::clamp(e.zone, 0, all_zones_ring() - 1);
-            server.cell = e.cell;
-            server.kind = std::clamp(e.kind, 0, kMaxKinds - 1);
-            if (server.kind >= static_cast<int>(kinds_.size()))
-                kinds_.resize(static_cast<std::size_t>(server.kind) + 1);
-            server.is_origin = deployment_.origin_kind >= 0 && e.kind == deployment_.origin_kind;
-            server.state = e.state;
-            MachineKind& k = kind_at(server.kind);
-            if (deployment_.endpoint_weights != EndpointWeights::absent && e.weight > 0)
-                k.size = std::max(k.size, e.weight);
-            server.listed_weight = e.weight;
-            server.visit_mark = update_generation_;
+        warm_responses_.is_current = false;
+        work_.servers += entries.size();
+        std::vector<int> changed;
+        changed.reserve(entries.size());
+        for (const Endpoint& endpoint : entries) {
+            take_over(endpoint);
+            changed.push_back(endpoint.server);
         }
-        work_.servers += entries.size() + servers_.size();
-        for (Server& server : servers_) {
-            if (kind != UpdateKind::delta && server.visit_mark != update_generation_)
+        if (kind != UpdateKind::delta) {
+            work_.servers += servers_.size();
+            for (std::size_t i = 0; i < servers_.size(); ++i) {
+                Server& server = servers_[i];
+                if (server.visit_mark == update_generation_ || server.state == EndpointState::removed)
+                    continue;
                 server.state = EndpointState::removed;
+                changed.push_back(static_cast<int>(i));
+            }
+        }
+        if (reference_weight_ == 0 && sizes_changed_) {
+            reference_weight_ = compute_reference_weight();
         }
-        if (reference_weight_ == 0) reference_weight_ = compute_reference_weight();
-        update_rings();
+        update_rings(changed);
         if (deployment_.endpoint_weights == EndpointWeights::load_adjusted &&
             kind != UpdateKind::cached_on_disk)
             apply_reported_load();
@@ -373,6 +360,7 @@
         --server.in_flight;
         count_in_flight(server, -1);
         server.last_used_at = now;
+        warm_responses_.is_current = false;
         const Outcome told = is_isolated_loss(server, outcome, now) ? Outcome::failed : outcome;
         record_outcome(server, request, attempt, told, latency, now);
         if (over) {
@@ -422,6 +410,12 @@
         double part = 1;                  // of its keys that go there, by the fleet's decision; 0: drained
         OutlierEjection ejection;
     };
+    // Sums over the servers that are not in slow start, by zone and, last, of all.
+    struct WarmResponses {
+        bool is_current = false;
+        double at = 0;
+        std::vector<double> answers, points;
+    };
     struct TenantQuota {
         double quota = 0;
         double part = 0;  // of it that the fleet leaves to this node
@@ -442,6 +436,7 @@
     const MachineKind& kind_at(int kind) const { return item(kinds_, kind); }
     PendingRequest& request_at(int id) { return item(requests_, id); }
     void apply_configuration(const Deployment& deployment) {
+        warm_responses_.is_current = false;
         deployment_ = deployment;
         shared_deployment_ = std::make_shared<const Deployment>(deployment);
         rings_.assign(static_cast<std::size_t>(std::max(1, deployment.zone_count)) + 1, {});
@@ -484,52 +479,97 @@
         return static_cast<int>(
             std::clamp(kPointsPerServer * size / reference_weight_, kMinPoints, kMaxPoints));
     }
-    // Only servers that came or went are touched: sorting all points at each change latency most of a node's
-    // CPU.
-    void update_rings() {
-        const auto wanted = [](const Server& server) {
-            return server.state == EndpointState::ready && !server.is_origin ? server.zone : -1;
-        };
-        const auto before = [this](const RingPoint& a, const RingPoint& b) {
-            return a.position != b.position ? a.position < b.position : hash_of(a.server) < hash_of(b.server);
-        };
-        const auto stays = [&](const Server& server) {
-            return wanted(server) == server.ring && (server.ring < 0 || point_count(server) == server.points);
-        };
-        std::vector<HashRing::Points> added(rings_.size());
-        bool left = false;
-        for (std::size_t i = 0; i < servers_.size(); ++i) {
-            const Server& server = servers_[i];
-            if (stays(server)) continue;
-            left = left || server.ring >= 0;
-            if (wanted(server) < 0) continue;
-            for (int p = 0; p < point_count(server); ++p) {
-                const RingPoint point{ring_position(server.hash + static_cast<std::uint64_t>(p)),
-                                      static_cast<int>(i)};
-                added[static_cast<std::size_t>(server.zone)].push_back(point);
-                added.back().push_back(point);
-            }
+    // What the endpoint list says of one server; the rings follow in update_rings().
+    void take_over(const Endpoint& e) {
+        if (e.server >= static_cast<int>(servers_.size()))
+            servers_.resize(static_cast<std::size_t>(e.server) + 1);
+        Server& server = server_at(e.server);
+        const double start = e.started_at > 0 ? e.started_at : -1e9;
+        const std::uint64_t hash = hash_text(e.name, kRingSeed);
+        if (server.hash != hash) take_off_ring(e.server);  // its points are found by the hash
+        if (start > server.started_at + 0.001 || server.hash != hash) {
+            // Restarted, or another server under this id: nothing known of the old one holds.
+            Server fresh;
+            fresh.in_flight = server.in_flight;
+            fresh.ring = server.ring;
+            fresh.points = server.points;
+            fresh.started_at = start;
+            server = fresh;
         }
-        work_.servers += 2 * servers_.size();
-        for (std::size_t z = 0; z < rings_.size(); ++z) {
-            work_.ring_points += (left ? 2 : 1) * rings_[z].size() + added[z].size();
-            if (left) rings_[z].remove_if([&](const RingPoint& p) { return !stays(server_at(p.server)); });
-            rings_[z].insert(std::move(added[z]), before);
+        server.slow_start_attempts.set_length(deployment_.overload_window);
+        server.hash = hash;
+        server.zone = std::clamp(e.zone, 0, all_zones_ring() - 1);
+        server.cell = e.cell;
+        server.kind = std::clamp(e.kind, 0, kMaxKinds - 1);
+        if (server.kind >= static_cast<int>(kinds_.size()))
+            kinds_.resize(static_cast<std::size_t>(server.kind) + 1);
+        server.is_origin = deployment_.origin_kind >= 0 && e.kind == deployment_.origin_kind;
+        server.state = e.state;
+        MachineKind& k = kind_at(server.kind);
+        if (deployment_.endpoint_weights != EndpointWeights::absent && e.weight > k.size) {
+            k.size = e.weight;
+            sizes_changed_ = true;
         }
-        ring_servers_.assign(rings_.size(), 0);
-        ring_in_flight_.assign(rings_.size(), 0);
+        server.listed_weight = e.weight;
+        server.visit_mark = update_generation_;
+    }
+    static int wanted_ring(const Server& server) {
+        return server.state == EndpointState::ready && !server.is_origin ? server.zone : -1;
+    }
+    static RingPoint ring_point(const Server& server, int server_id, int number) {
+        return {ring_position(server.hash + static_cast<std::uint64_t>(number)), server_id};
+    }
+    void take_off_ring(int server_id) {
+        Server& server = server_at(server_id);
+        if (server.ring < 0) return;
+        HashRing& ring = rings_[static_cast<std::size_t>(server.ring)];
+        for (int p = 0; p < server.points; ++p)
+            work_.ring_points += ring.erase(ring_point(server, server_id, p));
+        --ring_servers_[static_cast<std::size_t>(server.ring)];
+        --ring_servers_.back();
+        count_in_flight(server, -server.in_flight);
+        server.ring = -1;
+    }
+    // Puts the servers on the rings where they belong. Only the points of those that came, went or changed
+    // size are touched: requests wait meanwhile.
+    void update_rings(const std::vector<int>& changed) {
+        std::vector<HashRing::Points> added(rings_.size() - 1);
+        bool origin_changed = false;
+        const auto place = [&](int server_id) {
+            Server& server = server_at(server_id);
+            const int points = point_count(server);
+            const int wanted = wanted_ring(server);
+            origin_changed = origin_changed || server.is_origin || server_id == origin_server_;
+            if (wanted == server.ring && points == server.points) return;
+            take_off_ring(server_id);
+            server.ring = wanted;
+            server.points = points;
+            if (wanted < 0) return;
+            HashRing::Points& of_ring = added[static_cast<std::size_t>(wanted)];
+            for (int p = 0; p < points; ++p) of_ring.push_back(ring_point(server, server_id, p));
+            ++ring_servers_[static_cast<std::size_t>(wanted)];
+            ++ring_servers_.back();
+            count_in_flight(server, server.in_flight);
+        };
+        // A weight never seen changes the points of all servers of its kind.
+        if (std::exchange(sizes_changed_, false)) {
+            work_.servers += servers_.size();
+            for (std::size_t i = 0; i < servers_.size(); ++i) place(static_cast<int>(i));
+        } else {
+            for (const int server_id : changed) place(server_id);
+        }
+        for (std::size_t z = 0; z < added.size(); ++z)
+            work_.ring_points += rings_[z].insert(added[z], PointOrder{servers_});
+        if (origin_changed) find_origin();
+    }
+    void find_origin() {
         origin_server_ = -1;
+        work_.servers += servers_.size();
         for (std::size_t i = 0; i < servers_.size(); ++i) {
-            Server& server = servers_[i];
-            server.ring = wanted(server);
-            server.points = point_count(server);
+            const Server& server = servers_[i];
             if (server.is_origin && server.state == EndpointState::ready &&
                 (origin_server_ < 0 || server.hash < hash_of(origin_server_)))
                 origin_server_ = static_cast<int>(i);
-            if (server.ring < 0) continue;
-            ++ring_servers_[static_cast<std::size_t>(server.ring)];
-            ++ring_servers_.back();
-            count_in_flight(server, server.in_flight);
         }
     }
     void count_in_flight(const Server& server, int by) {
@@ -537,36 +577,49 @@
         ring_in_flight_[static_cast<std::size_t>(server.ring)] += by;
         ring_in_flight_.back() += by;
     }
+    // Points of one position stand in the order of their servers' hashes.
+    struct PointOrder {
+        const std::vector<Server>& servers;
+        bool operator()(const RingPoint& a, const RingPoint& b) const {
+            return a.position != b.position ? a.position < b.position
+                                            : servers[static_cast<std::size_t>(a.server)].hash <
+                                                  servers[static_cast<std::size_t>(b.server)].hash;
+        }
+    };
     static std::uint32_t ring_position(std::uint64_t x) { return static_cast<std::uint32_t>(mix(x) >> 32); }
     std::uint64_t hash_of(int server_id) const { return server_at(server_id).hash; }
     // First eligible one clockwise, or -1. NOLINTNEXTLINE(readability-function-cognitive-complexity): ROADMAP
     int pick_on_ring(const PendingRequest& request, int zone, double now, bool last_resort) {
-        const auto& ring = rings_[static_cast<std::size_t>(zone)];
-        if (ring.empty()) return -1;
+        const bool all_zones = zone == all_zones_ring();
+        const HashRing* const first = all_zones ? rings_.data() : &rings_[static_cast<std::size_t>(zone)];
+        const std::size_t count = all_zones ? rings_.size() - 1 : 1;
+        const std::size_t points =
+            std::accumulate(first, first + count, std::size_t{0},
+                            [](std::size_t sum, const HashRing& ring) { return sum + ring.size(); });
+        if (points == 0) return -1;
         const int members = ring_servers_[static_cast<std::size_t>(zone)];
-        const double a_point =
-            ring_in_flight_[static_cast<std::size_t>(zone)] / static_cast<double>(ring.size());
-        const std::uint32_t at =
-            ring_position((request.info.key ^ kRingSeed) + hot_key_replica(request, members));
-        auto p = ring.find(at);
+        const double a_point = ring_in_flight_[static_cast<std::size_t>(zone)] / static_cast<double>(points);
+        RingWalk walk(first, count,
+                      ring_position((request.info.key ^ kRingSeed) + hot_key_replica(request, members)));
         ++walk_mark_;
         int passed = -1, full = 0, seen = 0;
         bool declined = false;
-        for (std::size_t steps = 0; steps < ring.size() && seen < members; ++steps, ++p) {
-            if (p == ring.end()) p = ring.begin();
+        while (seen < members) {
+            const int candidate = walk.next(PointOrder{servers_});
+            if (candidate < 0) break;
             ++work_.ring_points;
-            Server& server = server_at(p->server);
+            Server& server = server_at(candidate);
             if (server.visit_mark == walk_mark_) continue;
             server.visit_mark = walk_mark_;
             ++seen;
-            if (!may_attempt(request, p->server, now) || (!last_resort && was_tried(request, p->server)))
+            if (!may_attempt(request, candidate, now) || (!last_resort && was_tried(request, candidate)))
                 continue;
             const double part = last_resort ? 1 : zone_at(server.zone).part;
             if (part > 0 && part < 1 && unit_interval(mix(request.info.key * 7 ^ kRingSeed)) >= part)
                 continue;
             // What an overloaded server declines would be more than its even share for a cold one next to it.
             if (declined && slow_start_ratio(server, now) < 1) continue;
-            if (!admits_while_cold(server, request, zone, now) || !host_.admit_slow_start(p->server))
+            if (!admits_while_cold(server, request, zone, now) || !host_.admit_slow_start(candidate))
                 continue;
             if (!last_resort && !within_traffic_share(server, request)) {
                 declined = true;
@@ -580,13 +633,13 @@
                     return passed >= 0 ? passed : kAllOverloaded;
                 continue;
             }
-            if (last_resort) return p->server;
+            if (last_resort) return candidate;
             if (server.in_flight > kLoadBoundFloor &&
                 server.in_flight > kLoadBoundFactor * a_point * server.points) {
-                if (passed < 0) passed = p->server;
+                if (passed < 0) passed = candidate;
                 continue;
             }
-            return p->server;
+            return candidate;
         }
         return passed;
     }
@@ -692,18 +745,29 @@
     // Responses to this node in one overload window per point of a warm server of the zone, or of all if it
     // has none: this node's part of a server's capacity. Servers without a recent response count too.
     double responses_per_warm_point(int zone, double now) {
-        std::array<double, 2> answers{}, points{};
+        if (!warm_responses_.is_current || warm_responses_.at != now) count_warm_responses(now);
+        const double in_zone = item(warm_responses_.points, zone);
+        const double answers =
+            in_zone > 0 ? item(warm_responses_.answers, zone) : warm_responses_.answers.back();
+        const double points = in_zone > 0 ? in_zone : warm_responses_.points.back();
+        return points == 0 ? 0 : deployment_.overload_window * answers / points / kRateWindow;
+    }
+    // A request that passes many cold servers asks for the same sums at each, so they are kept for its time.
+    void count_warm_responses(double now) {
         work_.servers += servers_.size();
+        warm_responses_.is_current = true;
+        warm_responses_.at = now;
+        warm_responses_.answers.assign(rings_.size(), 0);
+        warm_responses_.points.assign(rings_.size(), 0);
         for (Server& server : servers_) {
             if (server.is_origin || server.state != EndpointState::ready || slow_start_ratio(server, now) < 1)
                 continue;
-            for (std::size_t all = server.zone == zone ? 0 : 1; all < 2; ++all) {
-                answers[all] += server.latencies.count(now);
-                points[all] += server.points;
-            }
+            const int answers = server.latencies.count(now);
+            item(warm_responses_.answers, server.zone) += answers;
+            item(warm_responses_.points, server.zone) += server.points;
+            warm_responses_.answers.back() += answers;
+            warm_responses_.points.back() += server.points;
         }
-        const std::size_t of = points[0] > 0 ? 0 : 1;
-        return points[of] == 0 ? 0 : deployment_.overload_window * answers[of] / points[of] / kRateWindow;
     }
     // Exception: machines of a slower kind get a smaller share of their keys, the same ones at every node
     // with that share: speeds are not reported, and listed weights may mislead. A hot key goes by chance,
@@ -816,7 +880,8 @@
                zone_at(server.zone).ejection.ejected;
     }
     // Silent for long, it may have restarted: cold until the list says otherwise.
-    static void reinstate(Server& server, double now) {
+    void reinstate(Server& server, double now) {
+        warm_responses_.is_current = false;
         if (now - server.ejection.since > kRestartSilence)
             server.started_at = std::max(server.started_at, now);
         server.ejection.ejected = false;
@@ -1165,6 +1230,8 @@
     std::uint64_t node_seed_;  // for draws that differ from other nodes'
     std::vector<Server> servers_;
     BalancerWork work_;
+    WarmResponses warm_responses_;
+    bool sizes_changed_ = false;  // of a machine kind, or the reference: the points of all servers may change
     std::vector<HashRing> rings_;
     std::vector<int> ring_servers_, ring_in_flight_;  // servers on each ring, and attempts in flight there
     double reference_weight_ = 0;                     // by the first list that gave weights; 0: none does
--- a/src/balancer/hash_ring.h
+++ b/src/balancer/hash_ring.h
@@ -1,5 +1,8 @@
-// The sorted points of one consistent-hashing ring. A container: which points belong on it is the balancer's
+// The points of consistent-hashing rings. A container: which points belong on a ring is the balancer's
 // choice.
+//
+// A ring is cut into equal arcs, each with its points in order, so that a change costs what lies beside the
+// points that change and not the whole ring.
 #pragma once
 
 #include <algorithm>
@@ -19,31 +22,119 @@
   public:
     using Points = std::vector<RingPoint>;
 
-    bool empty() const { return points_.empty(); }
-    std::size_t size() const { return points_.size(); }
-    Points::const_iterator begin() const { return points_.begin(); }
-    Points::const_iterator end() const { return points_.end(); }
+    HashRing() : arcs_(kArcs) {}
+    bool empty() const { return size_ == 0; }
+    std::size_t size() const { return size_; }
 
-    // The first point at or after the position; end() if there is none, where a walk goes on at begin().
-    Points::const_iterator find(std::uint32_t position) const {
-        return std::lower_bound(points_.begin(), points_.end(), position,
-                                [](const RingPoint& point, std::uint32_t at) { return point.position < at; });
+    // Adds points. `before` orders them, also those of one position, alike at every node. Returns how many
+    // points were moved or compared.
+    template <typename Before>
+    std::size_t insert(const Points& added, const Before& before) {
+        std::vector<std::size_t> changed;
+        for (const RingPoint& point : added) {
+            Points& arc = arcs_[arc_of(point.position)];
+            const bool in_order = arc.empty() || !before(point, arc.back());
+            arc.push_back(point);
+            if (!in_order) changed.push_back(arc_of(point.position));
+        }
+        size_ += added.size();
+        std::sort(changed.begin(), changed.end());
+        changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
+        std::size_t touched = added.size();
+        for (const std::size_t arc : changed) {
+            std::sort(arcs_[arc].begin(), arcs_[arc].end(), before);
+            touched += arcs_[arc].size();
+        }
+        return touched;
     }
-    template <typename Predicate>
-    void remove_if(const Predicate& predicate) {
-        std::erase_if(points_, predicate);
+    // Removes one point of the server at this position. Returns how many points were moved or compared.
+    std::size_t erase(const RingPoint& removed) {
+        Points& arc = arcs_[arc_of(removed.position)];
+        const auto found = std::find_if(arc.begin(), arc.end(), [&removed](const RingPoint& point) {
+            return point.position == removed.position && point.server == removed.server;
+        });
+        const std::size_t touched = arc.size();
+        if (found == arc.end()) return touched;
+        arc.erase(found);
+        --size_;
+        return touched;
     }
-    // `before` orders points, also those of one position, alike at every node.
+
+    // Visits the points once round, clockwise from a position.
+    class Cursor {
+      public:
+        Cursor(const HashRing& ring, std::uint32_t from)
+            : ring_(&ring), arc_(arc_of(from)), left_(ring.size()) {
+            const Points& arc = ring.arcs_[arc_];
+            index_ = static_cast<std::size_t>(std::lower_bound(arc.begin(), arc.end(), from,
+                                                               [](const RingPoint& point, std::uint32_t at) {
+                                                                   return point.position < at;
+                                                               }) -
+                                              arc.begin());
+            skip_empty_arcs();
+        }
+        bool at_end() const { return left_ == 0; }
+        const RingPoint& point() const { return ring_->arcs_[arc_][index_]; }
+        void advance() {
+            --left_;
+            ++index_;
+            skip_empty_arcs();
+        }
+
+      private:
+        void skip_empty_arcs() {
+            if (left_ == 0) return;
+            while (index_ >= ring_->arcs_[arc_].size()) {
+                arc_ = (arc_ + 1) % kArcs;
+                index_ = 0;
+            }
+        }
+        const HashRing* ring_;
+        std::size_t arc_;
+        std::size_t index_ = 0;
+        std::size_t left_;  // points not visited yet
+    };
+
+  private:
+    static constexpr std::size_t kArcBits = 10;  // about a hundred points an arc with a thousand servers
+    static constexpr std::size_t kArcs = std::size_t{1} << kArcBits;
+    static std::size_t arc_of(std::uint32_t position) { return position >> (32U - kArcBits); }
+
+    std::vector<Points> arcs_;
+    std::size_t size_ = 0;
+};
+
+// A walk over the points of several rings as if they were one, clockwise from a position.
+class RingWalk {
+  public:
+    RingWalk(const HashRing* first, std::size_t rings, std::uint32_t from) : from_(from) {
+        cursors_.reserve(rings);
+        for (std::size_t i = 0; i < rings; ++i) cursors_.emplace_back(first[i], from);
+    }
+    // The server of the next point, or -1 after the last. `before` is that of the rings.
     template <typename Before>
-    void insert(Points added, const Before& before) {
-        std::sort(added.begin(), added.end(), before);
-        const auto old_size = static_cast<std::ptrdiff_t>(points_.size());
-        points_.insert(points_.end(), added.begin(), added.end());
-        std::inplace_merge(points_.begin(), points_.begin() + old_size, points_.end(), before);
+    int next(const Before& before) {
+        HashRing::Cursor* nearest = nullptr;
+        for (HashRing::Cursor& cursor : cursors_) {
+            if (!cursor.at_end() && (nearest == nullptr || is_nearer(cursor, *nearest, before)))
+                nearest = &cursor;
+        }
+        if (nearest == nullptr) return -1;
+        const int server = nearest->point().server;
+        nearest->advance();
+        return server;
     }
 
   private:
-    Points points_;
+    template <typename Before>
+    bool is_nearer(const HashRing::Cursor& a, const HashRing::Cursor& b, const Before& before) const {
+        const std::uint32_t to_a = a.point().position - from_;
+        const std::uint32_t to_b = b.point().position - from_;
+        return to_a != to_b ? to_a < to_b : before(a.point(), b.point());
+    }
+
+    std::vector<HashRing::Cursor> cursors_;
+    std::uint32_t from_;
 };
 
 }  // namespace brookrelay
--- a/src/proxy/iteration_monitor.h
+++ b/src/proxy/iteration_monitor.h
@@ -1,5 +1,5 @@
-/// How long the iterations of the event loop take, and what a long one was spent on. Every socket waits for the
-/// iteration under way, so its length bounds how old the facts are by which an attempt is sent.
+/// How long the iterations of the event loop take, and what a long one was spent on. Every socket waits for
+/// the iteration under way, so its length bounds how old the facts are by which an attempt is sent.
 ///
 /// No I/O and no clock: times are arguments, in seconds on the monotonic clock.
 #pragma once
--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -1,5 +1,5 @@
-// The program before endpoint lists of thousands of servers: what it may send before it has read its list, and
-// how it takes lists that are long or slow. Real connections.
+// The program before endpoint lists of thousands of servers: what it may send before it has read its list,
+// and how it takes lists that are long or slow. Real connections.
 #include <gtest/gtest.h>
 
 #include <cstddef>
@@ -73,7 +73,8 @@
     EXPECT_LT(seconds() - from, 2.0);
 }
 
-// Discovery has moved, and its full list comes in pieces over `transfer` seconds: it is taken, asked for once.
+// Discovery has moved, and its full list comes in pieces over `transfer` seconds: it is taken, asked for
+// once.
 void expect_slow_list_is_taken(double transfer) {
     Fleet fleet(2);
     ScriptedPeer& drained = fleet.caches.front();
@@ -114,9 +115,9 @@
 // A list that stands still in its middle is given up and asked for anew, in time for the 6 s.
 TEST(SlowList, ThatStandsStillIsAskedForAnew) {
     Fleet fleet(2);
-    const std::string list = full_list(9, Fleet::entry("origin", fleet.origin, "SERVING") + "," +
-                                              Fleet::entry(Fleet::name(fleet.caches.back()),
-                                                           fleet.caches.back(), "SERVING"));
+    const std::string list =
+        full_list(9, Fleet::entry("origin", fleet.origin, "SERVING") + "," +
+                         Fleet::entry(Fleet::name(fleet.caches.back()), fleet.caches.back(), "SERVING"));
     std::atomic<int> asked{0};
     ScriptedPeer moved(true);
     moved.plays([&](const std::string& request) {
