--- a/tests/large_fleet_test.cpp
+++ b/tests/large_fleet_test.cpp
@@ -48,14 +48,14 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(60));
         return Act{http(news)};
     };
-    Fleet fleet(2, {256, 250, watch, true, 192, false, true});
+    Fleet fleet(2, {256, 250, watch, true, 192, true, true});
     fleet.daemon().kill();
     ScriptedPeer& drained = fleet.caches.front();
     news = delta(8, Fleet::entry(Fleet::name(drained), drained, "DRAINING"));
     ready = true;
     // The commands wait in the listener's queue before the process is there.
     std::list<Line> clients;
-    for (int k = 0; k < 20; ++k) {
+    for (int k = 0; k < 12; ++k) {  // fewer than a cache may have in flight
         clients.emplace_back(own_loopback(), fleet.port());
         clients.back().send(read_of("k" + std::to_string(k), "s" + std::to_string(k)));
     }
@@ -133,4 +133,37 @@
     EXPECT_EQ(asked, 2);
 }
 
+// A list longer than one read of the socket has come whole, and requests behind it: they are begun by it.
+TEST(LongList, IsReadWholeBeforeRequestsThatCameLater) {
+    std::string news;
+    std::atomic<bool> tell{false};
+    const auto watch = [&](const std::string& request) {
+        if (request.find("index=7&") == std::string::npos) return Act{};
+        wait_for([&] { return tell.load(); });
+        return Act{http(news)};
+    };
+    Fleet fleet(2, {256, 250, watch});
+    ScriptedPeer& drained = fleet.caches.front();
+    news = delta(8, draining_entries(600) + Fleet::entry(Fleet::name(drained), drained, "DRAINING"));
+    expect_all_served(fleet, "f", 20);  // so that an idle connection to each server is at hand
+    std::list<Line> clients;
+    for (int k = 0; k < 20; ++k) clients.emplace_back(own_loopback(), fleet.port());
+    for (Line& client : clients) {
+        client.send("mn\r\n");
+        EXPECT_EQ(client.until("\r\n"), "MN\r\n");
+    }
+    fleet.signal(SIGSTOP);
+    const std::size_t before = drained.heard().size();
+    tell = true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));  // until the list lies in the sockets
+    int k = 0;
+    for (Line& client : clients) {
+        client.send(read_of("k" + std::to_string(k), "w" + std::to_string(k)));
+        ++k;
+    }
+    fleet.signal(SIGCONT);
+    for (Line& client : clients) EXPECT_FALSE(client.until("\r\n").empty());
+    EXPECT_EQ(drained.heard().size(), before);
+}
+
 }  // namespace
