Names ever listed are read once; a server's connections are counted, not searched

Cause: record_listed read the whole file of names once for each new name, close_unstarted and in_use passed over all connections for every server at every list, and a ring's insert sorted the numbers of all its arcs. Change: AdminState keeps the names that it has found or written; in_use is the server's own count; close_unstarted returns at once where no connection is open; disordered arcs are marked.

--- a/src/admin/admin_state.cpp
+++ b/src/admin/admin_state.cpp
@@ -70,7 +70,9 @@
 }  // namespace
 
 AdminState::AdminState(std::string directory) : directory_(std::move(directory)) {
-    if (!directory_.empty()) mkdir(directory_.c_str(), kDirectoryMode);
+    if (directory_.empty()) return;
+    mkdir(directory_.c_str(), kDirectoryMode);
+    read_listed_file();
 }
 
 std::string AdminState::path(std::string_view prefix, const std::string& name) const {
@@ -159,10 +161,19 @@
         return;
     }
     std::string lines;
+    std::vector<std::string> added;
     for (const std::string& name : names) {
-        if (!in_listed_file(name)) lines.append(percent_encoded(name)).append("\n");
+        std::string encoded = percent_encoded(name);
+        if (listed_in_file_.contains(encoded)) continue;
+        lines.append(encoded).append("\n");
+        added.push_back(std::move(encoded));
+    }
+    if (lines.empty()) return;
+    if (append_listed(lines)) {
+        listed_in_file_.insert(added.begin(), added.end());
+    } else {
+        listed_in_memory_.insert(names.begin(), names.end());
     }
-    if (!lines.empty() && !append_listed(lines)) listed_in_memory_.insert(names.begin(), names.end());
 }
 
 void AdminState::retry_listed() {
@@ -190,7 +201,18 @@
 }
 
 bool AdminState::was_ever_listed(const std::string& name) const {
-    return listed_in_memory_.contains(name) || (!directory_.empty() && in_listed_file(name));
+    return listed_in_memory_.contains(name) || listed_in_file_.contains(percent_encoded(name)) ||
+           (!directory_.empty() && in_listed_file(name));
+}
+
+// Half a line, left by a process that was killed, may look like another name: in_listed_file() reads it so
+// too.
+void AdminState::read_listed_file() {
+    std::ifstream file(directory_ + "/listed");
+    for (std::string line; std::getline(file, line);) {
+        listed_bytes_read_ += line.size() + 1;
+        listed_in_file_.insert(std::move(line));
+    }
 }
 
 bool AdminState::in_listed_file(const std::string& name) const {
--- a/src/admin/admin_state.h
+++ b/src/admin/admin_state.h
@@ -59,11 +59,15 @@
     bool sync_directory() const;
     bool append_listed(const std::string& lines) const;
     bool in_listed_file(const std::string& name) const;
+    void read_listed_file();
 
     std::string directory_;
     std::unordered_map<std::string, ServerState> states_;
     mutable std::uint64_t listed_bytes_read_ = 0;
     std::unordered_set<std::string> listed_in_memory_;  // names that are not in the `listed` file
+    // Encoded names that this process has found in the file or written there. Siblings append to it too, so a
+    // name may stand there twice, and the file is read once more for a name that is not in here.
+    std::unordered_set<std::string> listed_in_file_;
 };
 
 }  // namespace brookrelay
--- a/src/balancer/hash_ring.h
+++ b/src/balancer/hash_ring.h
@@ -30,20 +30,19 @@
     // points were moved or compared.
     template <typename Before>
     std::size_t insert(const Points& added, const Before& before) {
-        std::vector<std::size_t> changed;
+        std::vector<bool> is_disordered(kArcs);
         for (const RingPoint& point : added) {
-            Points& arc = arcs_[arc_of(point.position)];
-            const bool in_order = arc.empty() || !before(point, arc.back());
+            const std::size_t number = arc_of(point.position);
+            Points& arc = arcs_[number];
+            if (!arc.empty() && before(point, arc.back())) is_disordered[number] = true;
             arc.push_back(point);
-            if (!in_order) changed.push_back(arc_of(point.position));
         }
         size_ += added.size();
-        std::sort(changed.begin(), changed.end());
-        changed.erase(std::unique(changed.begin(), changed.end()), changed.end());
         std::size_t touched = added.size();
-        for (const std::size_t arc : changed) {
-            std::sort(arcs_[arc].begin(), arcs_[arc].end(), before);
-            touched += arcs_[arc].size();
+        for (std::size_t number = 0; !added.empty() && number < kArcs; ++number) {
+            if (!is_disordered[number]) continue;
+            std::sort(arcs_[number].begin(), arcs_[number].end(), before);
+            touched += arcs_[number].size();
         }
         return touched;
     }
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -71,10 +71,7 @@
 }
 
 bool UpstreamPool::in_use(int server_id) const {
-    searched_connections_ += connections_.size();
-    return std::any_of(connections_.begin(), connections_.end(), [server_id](const Connection& connection) {
-        return connection.server == server_id && !connection.socket->is_closed();
-    });
+    return servers_[static_cast<std::size_t>(server_id)].open > 0;
 }
 
 void UpstreamPool::remove_server(int server_id) { server_at(server_id) = {}; }
@@ -545,6 +542,7 @@
 // Called when a server starts draining: attempts not sent by then must not be sent to it any more.
 void UpstreamPool::close_unstarted(int server_id) {
     close_idle(server_id);
+    if (server_at(server_id).open == 0) return;
     searched_connections_ += connections_.size();
     for (Connection& connection : connections_) {
         if (connection.server == server_id && connection.busy && !connection.written)
--- a/src/upstream/upstream_pool.h
+++ b/src/upstream/upstream_pool.h
@@ -190,7 +190,7 @@
     std::vector<Server> servers_;
     std::list<Connection> connections_;
     std::size_t open_count_ = 0;
-    mutable std::uint64_t searched_connections_ = 0;
+    std::uint64_t searched_connections_ = 0;
     bool has_closed_ = false;
     int next_health_check_ = 0;
     std::unordered_map<std::uint64_t, Connection*> in_flight_;
