A list that flows is waited for, and read whole before requests are begun

Cause: EndpointWatch bound the whole answer by 1.25 s (full list) or the wait and 1 s, threw a list away that was still flowing, and read 64 KiB an iteration beside everything else. Change: once its body has begun, an answer is given up after 0.75 s without a byte (30 s in all); a due timer looks at the socket first. Discovery's sources go before all others and read until the socket is empty. The first request of a process waits 1 ms where lists are pushed, so that an answer tells soon whether the list of the file is current.

--- a/src/discovery/endpoint_watch.cpp
+++ b/src/discovery/endpoint_watch.cpp
@@ -1,6 +1,7 @@
 #include "discovery/endpoint_watch.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "config/json.h"
@@ -16,13 +17,28 @@
 constexpr double kWatchTimeout = 4;                 // s that a watch may wait for a change
 constexpr double kWatchTimeoutAfterSilence = 0.25;  // s; the first after a timeout: discovery may be down
 constexpr double kResponseAllowance = 1;            // s beyond the watch timeout, connecting included
-constexpr double kFullListTimeout = 1.25;           // s for a request of the full list, connecting included
+constexpr double kFullListTimeout = 1.25;           // s for a full list's first byte, connecting included
+// s without a byte of a response that has begun. A response that flows is waited for: a list of thousands of
+// servers takes seconds over a slow connection, and asking for it anew would begin it anew.
+constexpr double kStallTimeout = 0.75;
+constexpr double kMaxTransfer = 30;     // s from a response's first byte to its last: it only trickles
+constexpr double kRecheckDelay = 0.01;  // s, where a timer is due and bytes lie in the socket
+// s that the first request of a process may wait: what is known so far is the list of a file, and an answer,
+// also one without changes, tells whether it is current.
+constexpr double kConfirmationTimeout = 0.001;
 // s to the next attempt after a failure. The delay doubles and is jittered, since nodes that started together
 // fail together, and would otherwise retry together for as long as they are rejected.
 constexpr double kMinRetryDelay = 0.05;
 constexpr double kMaxRetryDelay = 1;
 constexpr std::int64_t kNoVersion = -1;                  // asks for the full list
 constexpr std::size_t kMaxListSize = 8UL * 1024 * 1024;  // bytes: tens of thousands of servers
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+
+// A watch's head may come at once, and its body only with a change.
+bool has_begun_body(std::string_view response) {
+    const std::size_t head = response.find(kHeadEnd);
+    return head != std::string_view::npos && response.size() > head + kHeadEnd.size();
+}
 
 }  // namespace
 
@@ -36,6 +52,7 @@
       on_update_(std::move(on_update)),
       on_failed_(std::move(on_failed)),
       version_(config.cached_endpoints.version),
+      is_confirmed_(config.deployment.polls_endpoints),  // where each request is paid for
       retry_delay_(kMinRetryDelay),
       random_(static_cast<std::uint32_t>(config.seed ^ (config.seed >> 32))) {}
 
@@ -63,11 +80,13 @@
 void EndpointWatch::send_request() {
     if (connection_ == nullptr || !connection_->is_connected()) connect();
     request_pending_ = true;
-    first_byte_at_ = 0;
+    first_byte_at_ = last_byte_at_ = 0;
     std::string target = "/discovery/hosts";
     double timeout = kFullListTimeout;
     if (version_ >= 0) {
-        const double wait = last_request_timed_out_ ? kWatchTimeoutAfterSilence : kWatchTimeout;
+        const double wait = !is_confirmed_            ? kConfirmationTimeout
+                            : last_request_timed_out_ ? kWatchTimeoutAfterSilence
+                                                      : kWatchTimeout;
         timeout = wait + kResponseAllowance;
         target +=
             "?index=" + std::to_string(version_) + "&wait=" + std::to_string(static_cast<int>(wait * 1e3));
@@ -75,15 +94,32 @@
     connection_->write(format_http_request("GET", target, address_, {}, {}));
     // Discovery may be silent with its connection open, and may come back without ever answering this
     // request.
-    request_timer_ = timers_.schedule(monotonic_now() + timeout, [this] {
+    arm_request_timer(monotonic_now() + timeout);
+}
+
+void EndpointWatch::arm_request_timer(double due) {
+    timers_.cancel(request_timer_);
+    request_timer_ = timers_.schedule(due, [this] {
         request_timer_ = {};
-        on_failure("no answer", true);
+        on_request_timeout();
     });
 }
 
+// After a hold of the loop the timer may be due while the answer lies in the socket.
+void EndpointWatch::on_request_timeout() {
+    const double now = monotonic_now();
+    if (connection_->has_unreceived_input()) return arm_request_timer(now + kRecheckDelay);
+    const double flows_until = last_byte_at_ + kStallTimeout;
+    if (first_byte_at_ > 0 && now < std::min(flows_until, first_byte_at_ + kMaxTransfer))
+        return arm_request_timer(flows_until);
+    on_failure(first_byte_at_ == 0 ? "no answer" : "the answer stands still", true);
+}
+
 void EndpointWatch::connect() {
-    connection_ = std::make_unique<TcpConnection>(address_, kMaxListSize, budget_,
-                                                  [this](TcpConnection::Event event) { on_event(event); });
+    connection_ = std::make_unique<TcpConnection>(
+        address_, kMaxListSize, budget_, [this](TcpConnection::Event event) { on_event(event); },
+        G_PRIORITY_HIGH);
+    connection_->read_until_empty();
 }
 
 void EndpointWatch::on_event(TcpConnection::Event event) {
@@ -100,14 +136,19 @@
 }
 
 void EndpointWatch::read_response(bool ended) {
-    if (first_byte_at_ == 0) first_byte_at_ = monotonic_now();
+    last_byte_at_ = monotonic_now();
+    if (first_byte_at_ == 0) first_byte_at_ = last_byte_at_;
     HttpResponse response;
     const std::size_t response_size =
         parse_http_response(connection_->input(), kMaxListSize, response, ended);
     if (response_size == 0 && ended) return on_failure("connection lost within an answer");
     // Of any status but 200 the header is enough: the end of such a body may never come.
     const bool refused = response.body_until_close && response.status != 200;
-    if (response_size == 0 && !connection_->is_read_buffer_full() && !refused) return;
+    if (response_size == 0 && !connection_->is_read_buffer_full() && !refused) {
+        if (request_pending_ && has_begun_body(connection_->input()))
+            arm_request_timer(std::min(last_byte_at_ + kStallTimeout, first_byte_at_ + kMaxTransfer));
+        return;
+    }
     if (!request_pending_ || !response.valid || response.status != 200) {
         // Discovery may have lost its versions and not know ours any more. One that only rejects with 503
         // still knows it, and the full list would cost it more.
@@ -137,6 +178,7 @@
     timers_.cancel(request_timer_);
     retry_delay_ = kMinRetryDelay;
     last_request_timed_out_ = false;
+    is_confirmed_ = true;
     version_ = update.version;
     update.size = response_size;
     update.first_byte_at = first_byte_at_;
--- a/src/discovery/endpoint_watch.h
+++ b/src/discovery/endpoint_watch.h
@@ -5,6 +5,9 @@
 // are logged under the topic `discovery` and change nothing; the watch retries with a jittered, doubling
 // delay, or reports them by OnFailed where the balancer decides when to poll. Times are seconds on the
 // monotonic clock.
+//
+// Its sources go before those of clients and servers, and it reads all that has come: a list that lies in the
+// socket is known before a request that lies in another one is begun.
 #pragma once
 
 #include <cstdint>
@@ -41,6 +44,8 @@
     void disconnect();
     void on_event(TcpConnection::Event event);
     void read_response(bool ended = false);  // `ended`: the peer closed cleanly after the input
+    void arm_request_timer(double due);
+    void on_request_timeout();
     void on_failure(const std::string& why, bool timed_out = false);
 
     TimerQueue& timers_;
@@ -56,7 +61,10 @@
     bool request_pending_ = false;
     bool last_request_timed_out_ = false;  // at least one request since the last answer
     bool watching_ = false;
-    double first_byte_at_ = 0;  // of the response under way, monotonic; 0: none has come
+    bool is_confirmed_;  // by an answer of discovery: the list held is no longer only that of a file
+    // When bytes of the response under way have come, monotonic; 0: none have.
+    double first_byte_at_ = 0;
+    double last_byte_at_ = 0;
     TimerQueue::Handle request_timer_;
     TimerQueue::Handle retry_timer_;  // the next request, or the next attempt after a failure
     double retry_delay_;
--- a/src/io/listener.cpp
+++ b/src/io/listener.cpp
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-SocketRef listen_on(const std::string& text, std::string& error) {
+SocketRef bind_to(const std::string& text, std::string& error) {
     const SocketAddressRef address = parse_socket_address(text);
     if (address == nullptr) {
         error = "'" + text + "' is not an address and port";
@@ -32,14 +32,27 @@
     if (socket != nullptr) {
         g_socket_set_blocking(socket.get(), FALSE);
         g_socket_set_listen_backlog(socket.get(), kListenBacklog);
-        if (g_socket_bind(socket.get(), address.get(), TRUE, &cause) && g_socket_listen(socket.get(), &cause))
-            return socket;
+        if (g_socket_bind(socket.get(), address.get(), TRUE, &cause)) return socket;
     }
     const ErrorRef cause_owner(cause);
     error = "cannot listen on " + text + ": " + (cause != nullptr ? cause->message : "no socket");
     return nullptr;
 }
 
+bool start_listening(GSocket* socket, std::string& error) {
+    GError* cause = nullptr;
+    if (g_socket_listen(socket, &cause)) return true;
+    const ErrorRef cause_owner(cause);
+    error = std::string("cannot listen: ") + cause->message;
+    return false;
+}
+
+SocketRef listen_on(const std::string& text, std::string& error) {
+    SocketRef socket = bind_to(text, error);
+    if (socket != nullptr && !start_listening(socket.get(), error)) socket.reset();
+    return socket;
+}
+
 SocketRef adopt_listener(int descriptor, std::string& error) {
     int is_listening = 0;
     socklen_t size = sizeof is_listening;
--- a/src/io/listener.h
+++ b/src/io/listener.h
@@ -13,7 +13,12 @@
 
 namespace brookrelay {
 
-/// Binds to a numeric `HOST:PORT` and listens. Returns nullptr on failure and describes it in `error`.
+/// Binds to a numeric `HOST:PORT`. Nobody can connect before start_listening(). Returns nullptr on failure
+/// and describes it in `error`.
+SocketRef bind_to(const std::string& address, std::string& error);
+/// Lets peers connect to a bound socket. Returns whether that worked, and else describes the failure.
+bool start_listening(GSocket* socket, std::string& error);
+/// Both of these in one step.
 SocketRef listen_on(const std::string& address, std::string& error);
 /// Takes over a listening socket inherited from another process, which may share it: it is neither bound nor
 /// shut down here. Returns nullptr and leaves the descriptor open if it is not a listening socket.
--- a/src/io/tcp_connection.cpp
+++ b/src/io/tcp_connection.cpp
@@ -53,8 +53,8 @@
 }
 
 TcpConnection::TcpConnection(const std::string& text, std::size_t read_limit, ByteBudget& budget,
-                             EventHandler on_event)
-    : read_limit_(read_limit), budget_(budget), on_event_(std::move(on_event)) {
+                             EventHandler on_event, int priority)
+    : read_limit_(read_limit), budget_(budget), on_event_(std::move(on_event)), priority_(priority) {
     const SocketAddressRef address = parse_socket_address(text);
     if (address != nullptr) socket_ = create_socket(address.get());
     if (socket_ == nullptr) {
@@ -156,19 +156,29 @@
 }
 
 void TcpConnection::receive() {
+    bool has_more = receive_chunk();
+    while (has_more && reads_until_empty_ && input_source_ != nullptr) has_more = receive_chunk();
+}
+
+// Returns whether a chunk was received: more may follow it.
+bool TcpConnection::receive_chunk() {
     // Read into the stack first: otherwise hundreds of idle connections would each keep a chunk of memory.
     std::array<char, kReadChunkBytes> buffer;
     GError* error = nullptr;
     const gssize count = g_socket_receive(socket_.get(), buffer.data(), buffer.size(), nullptr, &error);
     const ErrorRef error_owner(error);
-    if (count < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) return;
+    if (count < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) return false;
     ended_cleanly_ = count == 0;
-    if (count <= 0) return on_end();
+    if (count <= 0) {
+        on_end();
+        return false;
+    }
     received_at_ = arrival_of_received(static_cast<std::size_t>(count) < buffer.size());
     input_.append(buffer.data(), static_cast<std::size_t>(count));
     update_budget();
     on_event_(Event::readable);
     watch_input();
+    return true;
 }
 
 double TcpConnection::arrival_of_received(bool all_received) {
--- a/src/io/tcp_connection.h
+++ b/src/io/tcp_connection.h
@@ -39,9 +39,9 @@
     TcpConnection(SocketRef accepted, std::size_t read_limit, ByteBudget& budget, EventHandler on_event,
                   int priority = G_PRIORITY_DEFAULT);
     /// Begins to connect to a numeric `HOST:PORT`. A failure, also of parsing it, is reported as
-    /// Event::closed.
+    /// Event::closed. `priority` is the GLib priority of its sources.
     TcpConnection(const std::string& address, std::size_t read_limit, ByteBudget& budget,
-                  EventHandler on_event);
+                  EventHandler on_event, int priority = G_PRIORITY_DEFAULT);
     ~TcpConnection() { close(); }
     TcpConnection(const TcpConnection&) = delete;
     TcpConnection& operator=(const TcpConnection&) = delete;
@@ -54,6 +54,9 @@
     std::string_view input() const { return std::string_view(input_).substr(consumed_); }
     /// Removes bytes from the front of input().
     void consume(std::size_t bytes);
+    /// From now on all that the kernel holds is received at once, with an event for each chunk, in place of
+    /// one chunk an iteration of the main loop.
+    void read_until_empty() { reads_until_empty_ = true; }
     /// Bounds input() from now on; what is already received is kept.
     void set_read_limit(std::size_t bytes);
     /// Releases the socket and the buffers. No event follows.
@@ -93,6 +96,7 @@
     void on_error();
     void on_connected();
     void receive();
+    bool receive_chunk();
     void on_end();
     double arrival_of_received(bool all_received);
 
@@ -118,6 +122,7 @@
     double reading_paused_at_ = 0;  // 0: all that the kernel held since the last pause is received
     EventHandler on_event_;
     bool is_accepted_unread_ = false;  // accepted, and nothing is received yet
+    bool reads_until_empty_ = false;
     int priority_ = G_PRIORITY_DEFAULT;
 };
 
