Nothing is sent by facts from before a hold; a started node opens after its agent's answer

Cause of the incident: Node::start listened first, held the loop in proportion to the fleet, and began the commands that had come meanwhile by the list of its file, before it had read its agent's. Its class: what is sent is decided by facts that are older than the hold before it. Change: start() binds, applies the file's list, asks the agent, and listens once it has answered (0.3 s at the most where it is silent). An iteration whose sockets were looked at over 20 ms ago leaves its actions to the next one (three times in a row at the most), which reads lists, closes and answers first. A list costs what it names: removed servers are a set, connections are closed for changed servers alone. A shutdown counts from the poll before the signal was handled, and from a shorter deadline that a reload brings.

--- a/src/proxy/graceful_shutdown.cpp
+++ b/src/proxy/graceful_shutdown.cpp
@@ -20,11 +20,17 @@
 
 void GracefulShutdown::begin(double now, double longest_client_timeout, bool has_shared_listener) {
     const double left = std::min(longest_client_timeout, kMaxKillDelay) + kAnswerMargin;
+    began_at_ = now;
     last_answers_at_ = now + left;
     // Where client timeouts are short the kill comes early, and what was taken must be answered before it.
     closes_at_ = has_shared_listener ? now : now + std::min(kServeOn, left / 2);
 }
 
+void GracefulShutdown::on_configuration(double longest_client_timeout) {
+    const double left = std::min(longest_client_timeout, kMaxKillDelay) + kAnswerMargin;
+    last_answers_at_ = std::min(last_answers_at_, began_at_ + left);
+}
+
 bool GracefulShutdown::has_front_moved_away(double now) const { return now - closes_at_ >= kFrontMovesAway; }
 
 double GracefulShutdown::quiet_from(double now) { return now - kQuiet; }
--- a/src/proxy/graceful_shutdown.h
+++ b/src/proxy/graceful_shutdown.h
@@ -13,9 +13,12 @@
     };
     static constexpr double kCheckInterval = 0.05;
 
+    /// `now` is the earliest time at which the signal may have come, since the kill counts from there.
     /// `longest_client_timeout` bounds how soon the kill may come. With a shared listener new clients go to
     /// the other processes, so connections close at once; else only once another node had time to start.
     void begin(double now, double longest_client_timeout, bool has_shared_listener);
+    /// The configuration has changed meanwhile; a shorter timeout may bring the kill earlier.
+    void on_configuration(double longest_client_timeout);
     bool has_begun() const { return closes_at_ > 0; }
     /// When the clients' connections are to be closed.
     double closes_at() const { return closes_at_; }
@@ -26,6 +29,7 @@
     Step next_step(double now, bool clients_are_gone, bool has_open_requests) const;
 
   private:
+    double began_at_ = 0;
     double closes_at_ = 0;  // 0: the shutdown has not begun
     double last_answers_at_ = 0;
 };
--- a/src/proxy/metrics.cpp
+++ b/src/proxy/metrics.cpp
@@ -87,6 +87,8 @@
     page.counter("brookrelay_pauses_total", "Times that the process was held up.", pauses_);
     page.counter("brookrelay_reloads_taken_total", "Configurations taken over.", reloads_taken_);
     page.counter("brookrelay_reloads_refused_total", "Configurations refused.", reloads_refused_);
+    page.counter("brookrelay_deferrals_total",
+                 "Iterations that left actions to the next one, to look at the sockets first.", deferrals_);
     page.counter("brookrelay_lists_total", "Endpoint updates that were applied.", lists_);
     page.counter("brookrelay_list_bytes_total", "Their bytes.", list_bytes_);
     page.begin("brookrelay_list_seconds_total", "counter",
--- a/src/proxy/metrics.h
+++ b/src/proxy/metrics.h
@@ -37,6 +37,8 @@
     void on_list(std::size_t size, double latency);
     /// An attempt is written, `age` seconds after endpoints were confirmed last by their source.
     void on_send(double age);
+    /// Actions were left to the next iteration, since what is known of the sockets was too old.
+    void on_deferral() { ++deferrals_; }
     void on_reload(bool taken) { ++(taken ? reloads_taken_ : reloads_refused_); }
 
     /// The present values of what goes up and down, by metric name.
@@ -47,7 +49,7 @@
   private:
     static constexpr std::size_t kOutcomes = static_cast<std::size_t>(AttemptOutcome::miss) + 1;
     static constexpr std::size_t kRefusals = static_cast<std::size_t>(SendRefusal::over_quota) + 1;
-    std::uint64_t lists_ = 0, list_bytes_ = 0, sends_ = 0;
+    std::uint64_t deferrals_ = 0, lists_ = 0, list_bytes_ = 0, sends_ = 0;
     double list_seconds_ = 0, longest_list_ = 0, send_list_age_ = 0, oldest_send_list_ = 0;  // s
     std::uint64_t requests_ = 0, clock_steps_ = 0, pauses_ = 0, reloads_taken_ = 0, reloads_refused_ = 0;
     std::array<std::uint64_t, static_cast<std::size_t>(RequestEnd::count)> request_ends_{};
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -24,6 +24,15 @@
 constexpr double kPauseThreshold = 0.1;
 constexpr double kMaxCatchUp = 0.25;  // s after a pause in which the backlog is read, at most as long as it
 
+// s since the sockets were looked at, after which they are looked at again before anything is sent: a list, a
+// client's close or an answer may have come meanwhile. A client's close may be 0.1 s old at a send.
+constexpr double kMaxFactAge = 0.02;
+constexpr int kMaxDeferrals = 3;  // iterations in a row; then the actions are carried out all the same
+
+// s that a started node waits for discovery before it serves by the list of its file. What the agent holds
+// counts as told from the start of the process; silent, it has to be done without.
+constexpr double kFirstListTimeout = 0.3;
+
 constexpr double kEvictionInterval = 1.0;    // s between checks, until all removed servers are evicted
 constexpr double kAnswerMargin = 0.05;       // s before its deadline at which a response has to be written
 constexpr double kHealthCheckTimeout = 0.5;  // s; a health check has no request whose deadline it shares
@@ -190,9 +199,9 @@
 void Node::start(int inherited) {
     has_shared_listener_ = inherited >= 0;
     std::string error;
-    SocketRef listener =
-        has_shared_listener_ ? adopt_listener(inherited, error) : listen_on(config_.listen, error);
-    if (listener == nullptr)
+    pending_listener_ =
+        has_shared_listener_ ? adopt_listener(inherited, error) : bind_to(config_.listen, error);
+    if (pending_listener_ == nullptr)
         throw BindError((has_shared_listener_ ? "GW_ACCEPT_FD: " : "field 'listen': ") + error);
     if (!config_.admin_listen.empty() && !admin_server_.listen(config_.admin_listen, error))
         throw BindError("field 'management': " + error);
@@ -204,43 +213,92 @@
         apply_admin_state(now, by_hand);
         load_warm_start(now);
     });
-    run_iteration();
-    if (coordination_ != nullptr) {
-        coordination_->start();
-    } else if (!config_.deployment.polls_endpoints) {
-        endpoint_watch_.poll();
-    }
+    handle_events();
+    carry_out_all_actions();
+    const bool has_agent = coordination_ == nullptr && !config_.deployment.polls_endpoints;
+    if (coordination_ != nullptr) coordination_->start();
+    if (has_agent) endpoint_watch_.poll();
     if (has_shared_listener_) sibling_processes_ = std::make_unique<SiblingProcesses>(node_folder(config_));
     update_budget_share();
     if (gossip_ != nullptr) gossip_->start();
-    clients_.listen(std::move(listener));
     timers_.schedule(monotonic_now(), [this] { reload_admin_state(); });
     timers_.schedule(monotonic_now() + kListedRetryInterval, [this] { retry_listed(); });
+    opening_timer_ = timers_.schedule(monotonic_now() + (has_agent ? kFirstListTimeout : 0), [this] {
+        opening_timer_ = {};
+        event_queue_.emplace_back([this](double) { open_for_clients(); });
+    });
+    // No client can have come during the start, unless siblings hold the listener open.
+    if (!has_shared_listener_) iteration_started_at_ = monotonic_now();
+}
+
+// Nobody can connect before, so that no request waits for the start of the process.
+void Node::open_for_clients() {
+    timers_.cancel(opening_timer_);
+    if (pending_listener_ == nullptr || shutdown_.has_begun()) return;
+    std::string error;
+    if (!has_shared_listener_ && !start_listening(pending_listener_.get(), error))
+        throw BindError("field 'listen': " + error + " on " + config_.listen);
+    clients_.listen(std::move(pending_listener_));
+    accepts_clients_ = true;
     if (has_shared_listener_ && !config_.state_folder.empty())
         timers_.schedule(monotonic_now() + kWarmStartInterval, [this] { save_warm_start(); });
-    accepts_clients_ = true;
+    log_.line(Topic::node, "serves", "serves on " + config_.listen);
 }
 
 void Node::run_iteration() {
     (void)arrival_time();
+    iteration_started_at_ = monotonic_now();
+    iteration_monitor_.begin(iteration_started_at_, work_done());
+    handle_events();
+    carry_out_actions();
+    const std::string complaint = iteration_monitor_.end(monotonic_now(), work_done());
+    if (!complaint.empty()) log_.line(Topic::node, "slow_iteration", complaint);
+}
+
+void Node::handle_events() {
     const double now = monotonic_now();
-    iteration_started_at_ = now;
-    iteration_monitor_.begin(now, work_done());
     std::vector<Event> events;
     events.swap(event_queue_);
     work_.events += events.size();
-    for (const Event& happening : events) happening(now);
-    std::vector<std::function<void()>> actions;
-    actions.swap(action_queue_);
-    work_.actions += actions.size();
-    for (const auto& action : actions) action();
-    for (const int request : finished_requests_) requests_.release(request);
-    finished_requests_.clear();
+    for (const Event& event : events) event(now);
+}
+
+bool Node::are_facts_stale() const { return monotonic_now() - poll_clock_.last() > kMaxFactAge; }
+
+// The guard before each send knows what the sockets have told so far. Where this iteration has taken long,
+// what has come meanwhile goes first: the rest of the actions waits for the next one, which begins at once.
+void Node::carry_out_actions() {
+    const bool may_defer = deferrals_ < kMaxDeferrals;
+    // Actions that these request are left to the next iteration.
+    for (std::size_t left = action_queue_.size(); left > 0; --left) {
+        if (may_defer && are_facts_stale()) {
+            ++deferrals_;
+            metrics_.on_deferral();
+            return;
+        }
+        const std::function<void()> action = std::move(action_queue_.front());
+        action_queue_.pop_front();
+        ++work_.actions;
+        action();
+    }
+    deferrals_ = 0;
+    release_finished();
+}
+
+void Node::carry_out_all_actions() {
+    deferrals_ = kMaxDeferrals;
+    carry_out_actions();
+}
+
+// Only once no action is left that names one of these requests.
+void Node::release_finished() {
+    if (action_queue_.empty()) {
+        for (const int request : finished_requests_) requests_.release(request);
+        finished_requests_.clear();
+    }
     pool_.destroy_closed();
     clients_.destroy_closed();
     admin_server_.destroy_closed();
-    const std::string complaint = iteration_monitor_.end(monotonic_now(), work_done());
-    if (!complaint.empty()) log_.line(Topic::node, "slow_iteration", complaint);
 }
 
 IterationWork Node::work_done() const {
@@ -255,7 +313,8 @@
 // Anything that speaks against the new configuration is found before a part of it is applied. Events so far
 // reach the balancer under the old one, by whose indexes they were parsed.
 void Node::reload(const NodeConfig& config, const OperatorConfig& operator_config) {
-    run_iteration();
+    handle_events();
+    carry_out_all_actions();
     std::vector<ServerTable::Placement> placements;
     std::string refusal = why_not_reloadable(config_, config);
     if (refusal.empty()) refusal = servers_.translate_placements(config_.names, config.names, placements);
@@ -283,6 +342,7 @@
     log_.line(Topic::node, "configuration_read",
               "configuration read again: discovery at " + config.discovery + ", settings taken" +
                   (has_new_names ? ", names changed" : ""));
+    if (shutdown_.has_begun()) shutdown_.on_configuration(longest_client_timeout());
     if (coordination_ == nullptr)
         endpoint_watch_.move_to(config.discovery, config.names, config.deployment.polls_endpoints);
 }
@@ -437,35 +497,30 @@
     finished_requests_.push_back(result.request);
 }
 
+// What a list changes counts for each send from here on (ServerTable::accepts_attempts); the balancer's rings
+// and the rest follow. All of it in time proportional to the change, but for full lists.
 void Node::apply_endpoint_update(double now, UpdateKind kind, const EndpointUpdate& list) {
-    std::vector<Endpoint> entries;
-    std::unordered_set<int> listed_servers;
+    std::vector<int> changed;
     std::vector<std::string> first_seen;
     work_.list_entries += list.servers.size();
-    work_.servers += servers_.size();
     for (const EndpointRecord& record : list.servers) {
         // The removal of a server that is unknown, or evicted by now, must not add it.
-        if (record.state == EndpointState::removed && !servers_.contains(record.name)) continue;
-        if (!servers_.contains(record.name)) first_seen.push_back(record.name);
+        const bool is_known = servers_.contains(record.name);
+        if (record.state == EndpointState::removed && !is_known) continue;
+        if (!is_known) first_seen.push_back(record.name);
         const int server = servers_.find_or_add(record.name);
-        listed_servers.insert(server);
+        changed.push_back(server);
         servers_.update(server, record, admin_state_.state_of(record.name), wall_clock_.read());
         const Server& s = servers_.at(server);
-        entries.push_back(servers_.endpoint(server));
         pool_.add_server(server, s.name, s.address, servers_.is_origin(s));
     }
-    for (const auto& [name, server] : servers_.numbers()) {
-        Server& s = servers_.at(server);
-        if (list.is_full && !listed_servers.contains(server) && s.state != EndpointState::removed) {
-            s.state = EndpointState::removed;
-            entries.push_back(servers_.endpoint(server));
-        }
+    if (list.is_full) remove_unlisted(changed);
+    std::vector<Endpoint> entries;
+    entries.reserve(changed.size());
+    for (const int server : changed) {
+        entries.push_back(servers_.endpoint(server));
+        servers_.note_removal(server, now);
         if (!servers_.accepts_attempts(server)) pool_.close_unstarted(server);
-        if (s.state != EndpointState::removed) {
-            s.removed_at = 0;
-        } else if (s.removed_at == 0) {
-            s.removed_at = now;
-        }
     }
     if (!entries.empty() || list.is_full) {
         log_.line(Topic::discovery, "list",
@@ -474,15 +529,28 @@
                       (list.is_full ? " (whole list)" : ""));
     }
     if (!first_seen.empty()) admin_state_.record_listed(first_seen);
-    if (kind != UpdateKind::cached_on_disk) {
-        servers_.on_list_applied(now);
-        const double applied_at = monotonic_now();
-        endpoints_confirmed_at_ = applied_at;
-        if (list.size > 0) metrics_.on_list(list.size, applied_at - list.first_byte_at);
-    }
     balancer_->on_endpoints(now, kind, entries);
-    evict_removed_servers();
-    publish_endpoints();
+    if (!changed.empty()) {
+        evict_removed_servers();
+        publish_endpoints();
+    }
+    if (kind == UpdateKind::cached_on_disk) return;
+    servers_.on_list_applied(now);
+    endpoints_confirmed_at_ = monotonic_now();
+    if (list.size > 0) metrics_.on_list(list.size, endpoints_confirmed_at_ - list.first_byte_at);
+    open_for_clients();
+}
+
+// A full list removes the servers that it does not name.
+void Node::remove_unlisted(std::vector<int>& changed) {
+    const std::unordered_set<int> listed(changed.begin(), changed.end());
+    work_.servers += servers_.size();
+    for (const auto& [name, server] : servers_.numbers()) {
+        Server& s = servers_.at(server);
+        if (listed.contains(server) || s.state == EndpointState::removed) continue;
+        s.state = EndpointState::removed;
+        changed.push_back(server);
+    }
 }
 
 void Node::publish_endpoints() {
@@ -877,11 +945,8 @@
     log_.line(Topic::node, "told_to_end",
               has_shared_listener_ ? "told to end: the other processes on the listener take who comes"
                                    : "told to end: serves on until the front has moved away");
-    double longest_timeout = 0;
-    for (const Operation& op : config_.deployment.operations)
-        longest_timeout = std::max(longest_timeout, op.client_timeout);
-    const double now = monotonic_now();
-    shutdown_.begin(now, longest_timeout, has_shared_listener_);
+    // The signal may have come at any time since the sockets were looked at before.
+    shutdown_.begin(poll_clock_.previous(), longest_client_timeout(), has_shared_listener_);
     accepts_clients_ = false;
     if (has_shared_listener_) {
         clients_.stop_accepting();
@@ -892,6 +957,13 @@
     check_shutdown();
 }
 
+double Node::longest_client_timeout() const {
+    double longest = 0;
+    for (const Operation& operation : config_.deployment.operations)
+        longest = std::max(longest, operation.client_timeout);
+    return longest;
+}
+
 void Node::check_shutdown() {
     const double now = monotonic_now();
     const bool clients_are_gone =
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <stdexcept>
@@ -27,6 +28,7 @@
 #include "guard/send_guard.h"
 #include "guard/violations.h"
 #include "io/log.h"
+#include "io/poll_clock.h"
 #include "io/timer_queue.h"
 #include "io/wall_clock.h"
 #include "proxy/graceful_shutdown.h"
@@ -51,12 +53,14 @@
   public:
     /// `log` must outlive the node.
     Node(const NodeConfig& config, const OperatorConfig& operator_config, Log& log);
-    /// Starts to serve. `inherited`: the descriptor of a clients' listener shared with other processes, which
-    /// the node takes over; else -1. Throws BindError.
+    /// Starts; serves as soon as its endpoint list is confirmed, or could not be within a short time.
+    /// `inherited`: the descriptor of a clients' listener shared with other processes, which the node takes
+    /// over; else -1. Throws BindError.
     void start(int inherited);
-    /// One round of the event loop, after the sources that were ready have been dispatched.
+    /// One round of the event loop, after the sources that were ready have been dispatched. Throws BindError
+    /// if the listener that start() has bound cannot be opened.
     void run_iteration();
-    bool has_work() const { return !event_queue_.empty(); }
+    bool has_work() const { return !event_queue_.empty() || !action_queue_.empty(); }
     /// Takes over all that can change in a running node, or nothing, with the reason in the log. Of the
     /// operators' configuration only the fleet's quotas change.
     void reload(const NodeConfig& config, const OperatorConfig& operator_config);
@@ -78,6 +82,13 @@
   private:
     using Event = std::function<void(double now)>;
 
+    void handle_events();
+    void carry_out_actions();
+    void carry_out_all_actions();
+    bool are_facts_stale() const;
+    void release_finished();
+    void open_for_clients();
+    double longest_client_timeout() const;
     double arrival_time();
     int on_command(const ClientConnections::RequestHandle& client, Command&& command, double received_at);
     void on_connection_closed(const ClientConnections::RequestHandle& client, int request);
@@ -87,6 +98,7 @@
                                                        double now);
     void abandon_request(double now, int request, RequestEnd end);
     void apply_endpoint_update(double now, UpdateKind kind, const EndpointUpdate& list);
+    void remove_unlisted(std::vector<int>& changed);
     void on_registrations(const std::vector<RegistrationChange>& changes);
     void apply_operator_config(const OperatorConfig& operator_config);
     void apply_connection_limit();
@@ -120,6 +132,7 @@
     OperatorConfig operator_config_;
     Log& log_;
     TimerQueue timers_;
+    PollClock poll_clock_;
     WallClock wall_clock_;
     ViolationCounter violations_;
     Metrics metrics_;
@@ -135,7 +148,8 @@
     std::unique_ptr<GossipAgent> gossip_;               // null: off, or not possible with the settings
     std::unique_ptr<CoordinationClient> coordination_;  // null: endpoint_watch_ is used
     std::vector<Event> event_queue_;
-    std::vector<std::function<void()>> action_queue_;
+    std::deque<std::function<void()>> action_queue_;
+    int deferrals_ = 0;  // iterations in a row that have left actions to the next one
     std::vector<int> finished_requests_;
     RequestTable requests_;
     // The receiving request of each streamed response, by the id of the stream.
@@ -150,6 +164,8 @@
     double catch_up_until_ = 0;          // and until when what is read counts as received then
     double budget_share_ = 1;            // this process's part of the node's budget
     TimerQueue::Handle eviction_timer_;
+    TimerQueue::Handle opening_timer_;
+    SocketRef pending_listener_;  // until the node opens for clients
     GracefulShutdown shutdown_;
     bool done_ = false;
     bool accepts_clients_ = false;
--- a/src/proxy/serve.cpp
+++ b/src/proxy/serve.cpp
@@ -85,15 +85,14 @@
     g_unix_signal_add(SIGHUP, on_reload, &context);
     try {
         node.start(inherited);
+        while (!node.is_done()) {
+            g_main_context_iteration(nullptr, node.has_work() ? FALSE : TRUE);
+            node.run_iteration();
+        }
     } catch (const BindError& error) {
         std::fprintf(stderr, "brookrelay: %s\n", error.what());
         return kBroken;
     }
-    log.line(Topic::node, "serves", "serves on " + config.listen);
-    while (!node.is_done()) {
-        g_main_context_iteration(nullptr, node.has_work() ? FALSE : TRUE);
-        node.run_iteration();
-    }
     log.line(Topic::node, "ends", "ends");
     return kDone;
 }
--- a/src/proxy/server_table.cpp
+++ b/src/proxy/server_table.cpp
@@ -142,25 +142,33 @@
     return {};
 }
 
+void ServerTable::note_removal(int number, double now) {
+    Server& server = at(number);
+    if (server.state != EndpointState::removed) {
+        server.removed_at = 0;
+        removed_.erase(number);
+    } else if (removed_.insert(number).second) {
+        server.removed_at = now;
+    }
+}
+
 // A request from a removed server's time may have an attempt in flight there, or be held to where its first
 // attempt went: so a number is free only once no such request is left.
 bool ServerTable::evict_removed(double oldest_request, const std::function<bool(int)>& in_use,
                                 const std::function<void(int)>& on_evict) {
-    bool some_left = false;
-    for (auto position = numbers_.begin(); position != numbers_.end();) {
-        const int number = position->second;
-        const double removed_at = at(number).removed_at;
-        if (removed_at == 0 || removed_at >= oldest_request || in_use(number)) {
-            some_left = some_left || removed_at > 0;
+    for (auto position = removed_.begin(); position != removed_.end();) {
+        const int number = *position;
+        if (at(number).removed_at >= oldest_request || in_use(number)) {
             ++position;
             continue;
         }
         on_evict(number);
+        numbers_.erase(at(number).name);
         at(number) = {};
         free_numbers_.push_back(number);
-        position = numbers_.erase(position);
+        position = removed_.erase(position);
     }
-    return some_left;
+    return !removed_.empty();
 }
 
 }  // namespace brookrelay
--- a/src/proxy/server_table.h
+++ b/src/proxy/server_table.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "admin/admin_state.h"
@@ -69,6 +70,8 @@
     std::string translate_placements(const Names& from, const Names& to,
                                      std::vector<Placement>& placements) const;
 
+    /// After a change of its state: since when a removed server has been so. A listed one is not removed.
+    void note_removal(int number, double now);
     /// Evicts servers that were removed before `oldest_request` and that are not in use, calling `on_evict`
     /// for each. Their numbers may then stand for others. Returns whether any removed server stays.
     bool evict_removed(double oldest_request, const std::function<bool(int)>& in_use,
@@ -84,6 +87,7 @@
     std::unordered_map<std::string, int> numbers_;
     std::deque<Server> servers_;  // a deque: the balancer holds views of the names while servers are added
     std::vector<int> free_numbers_;
+    std::unordered_set<int> removed_;  // numbers of the servers with a removed_at
 };
 
 }  // namespace brookrelay
