--- a/tests/ring_test.cpp
+++ b/tests/ring_test.cpp
@@ -236,6 +236,18 @@
     EXPECT_LT(fleet.node->work().ring_points - before, kPointsOfAServer);
 }
 
+// A configuration without a change of zones leaves the rings as they are.
+TEST(LargeFleet, AReloadTouchesNoPointAndMovesNoKey) {
+    Fleet fleet(kLargeFleet, 3);
+    fleet.start();
+    const auto before = owners(fleet, 200);
+    const std::uint64_t touched = fleet.node->work().ring_points;
+    fleet.node->on_configuration(fleet.now, fleet.deployment);
+    fleet.tell(UpdateKind::full);
+    EXPECT_LT(fleet.node->work().ring_points - touched, kPointsOfAServer);
+    EXPECT_EQ(owners(fleet, 200), before);
+}
+
 TEST(LargeFleet, ARequestBeforeColdServersLooksAtEachServerAFewTimesAtMost) {
     Fleet fleet(kLargeFleet, 3);
     fleet.deployment.node_count = 300;
