A reload leaves the rings as they are where the zones are the same

Cause: apply_configuration emptied the rings at each reload, and the list that follows built them anew: a hold in which lists, closes and answers wait. Change: the rings are emptied only if the number of zones changes; update_rings moves what belongs elsewhere. Ring, rules, golden, config pass.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -185,6 +185,7 @@
     ConsistentHashBalancer(const Deployment& deployment, std::uint64_t seed, Host& host)
         : host_(host), random_(static_cast<std::uint32_t>(mix(seed))), node_seed_(mix(seed + 1)) {
         apply_configuration(deployment);
+        clear_rings();
         retry_tokens_ = max_retry_tokens_ / 2;
         origin_limiter_.limit = std::clamp(kInitialOriginLimit / std::max(1, deployment.node_count),
                                            kMinLimit, kMaxInitialOriginLimit);
@@ -194,11 +195,12 @@
     // endpoint list that follows.
     void on_configuration(double, const Deployment& deployment) override {
         const bool same_sizes = deployment.endpoint_weights == deployment_.endpoint_weights;
+        const bool same_zones = deployment.zone_count == deployment_.zone_count;
         apply_configuration(deployment);
-        for (Server& server : servers_) {
-            server.ring = -1;
-            server.points = 0;
-            if (!same_sizes) server.share = 1;
+        // Points stay where they are: the list that follows moves those of servers that belong elsewhere now.
+        if (!same_zones) clear_rings();
+        if (!same_sizes) {
+            for (Server& server : servers_) server.share = 1;
         }
         if (same_sizes) return;
         for (MachineKind& k : kinds_) k.size = 0;
@@ -439,10 +441,8 @@
         warm_responses_.is_current = false;
         deployment_ = deployment;
         shared_deployment_ = std::make_shared<const Deployment>(deployment);
-        rings_.assign(static_cast<std::size_t>(std::max(1, deployment.zone_count)) + 1, {});
-        zones_.assign(rings_.size(), {});
-        ring_servers_.assign(rings_.size(), 0);
-        ring_in_flight_.assign(rings_.size(), 0);
+        const auto zones = static_cast<std::size_t>(std::max(1, deployment.zone_count));
+        zones_.assign(zones + 1, {});
         tenants_.assign(deployment.tenants.size(), {});
         for (std::size_t t = 0; t < tenants_.size(); ++t) tenants_[t].quota = deployment.tenants[t].quota;
         max_retry_tokens_ = std::clamp(kMaxFleetRetryTokens / std::max(1, deployment.node_count),
@@ -479,6 +479,16 @@
         return static_cast<int>(
             std::clamp(kPointsPerServer * size / reference_weight_, kMinPoints, kMaxPoints));
     }
+    // One ring for each zone; the last, that of all zones, has no points of its own (RingWalk).
+    void clear_rings() {
+        rings_.assign(zones_.size(), {});
+        ring_servers_.assign(zones_.size(), 0);
+        ring_in_flight_.assign(zones_.size(), 0);
+        for (Server& server : servers_) {
+            server.ring = -1;
+            server.points = 0;
+        }
+    }
     // What the endpoint list says of one server; the rings follow in update_rings().
     void take_over(const Endpoint& e) {
         if (e.server >= static_cast<int>(servers_.size()))
