Ready answer tells a start from an end; gossip hears of a reload's zones; shutdown times tested

Cause: a node that waits for its agent answered its operators that it ends; apply_endpoint_update tells gossip only of changes now, so a reload that moves zones has to tell it itself.

--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -337,6 +337,7 @@
         entries.push_back(servers_.endpoint(server));
     }
     balancer_->on_endpoints(monotonic_now(), UpdateKind::full, entries);
+    publish_endpoints();
     apply_operator_config(operator_config);
     if (gossip_ != nullptr) gossip_->repeat_zone_changes(monotonic_now());
     log_.line(Topic::node, "configuration_read",
@@ -809,8 +810,10 @@
         return admin_server_.respond(caller, 200, metrics_page());
     if (std::holds_alternative<TraceQuery>(action))
         return admin_server_.respond(caller, 200, trace_.text(monotonic_now()));
-    return accepts_clients_ ? admin_server_.respond(caller, 200, "ready")
-                            : admin_server_.respond(caller, 503, "ends, and takes no new clients");
+    if (accepts_clients_) return admin_server_.respond(caller, 200, "ready");
+    admin_server_.respond(
+        caller, 503,
+        shutdown_.has_begun() ? "ends, and takes no new clients" : "starts, and waits for its endpoint list");
 }
 
 std::string Node::metrics_page() const {
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 
 #include "admin/admin_state.h"
+#include "proxy/graceful_shutdown.h"
 #include "proxy/server_table.h"
 #include "proxy/warm_start_file.h"
 
@@ -110,4 +111,27 @@
     }
 }
 
+// ---- the times of a shutdown -----------------------------------------------------------------------------
+
+// The kill comes the shorter of the longest client timeout and 3 s, and 0.7 s, after the signal.
+TEST(ShutdownTimes, OpenRequestsAreFailedBeforeTheKillOfEachTimeout) {
+    for (const double timeout : {0.2, 1.0, 9.0}) {
+        GracefulShutdown shutdown;
+        shutdown.begin(100, timeout, false);
+        const double kill = 100 + std::min(timeout, 3.0) + 0.7;
+        EXPECT_EQ(shutdown.next_step(kill - 0.2, false, true), GracefulShutdown::Step::fail_open_requests);
+        EXPECT_LT(shutdown.closes_at(), kill - 0.3);
+    }
+}
+
+TEST(ShutdownTimes, AShorterTimeoutByAReloadCountsFromTheSignal) {
+    GracefulShutdown shutdown;
+    shutdown.begin(100, 3.0, false);
+    EXPECT_EQ(shutdown.next_step(100.7, false, true), GracefulShutdown::Step::wait);
+    shutdown.on_configuration(0.2);
+    EXPECT_EQ(shutdown.next_step(100.7, false, true), GracefulShutdown::Step::fail_open_requests);
+    shutdown.on_configuration(3.0);  // a longer one does not bring the kill later for sure
+    EXPECT_EQ(shutdown.next_step(100.7, false, true), GracefulShutdown::Step::fail_open_requests);
+}
+
 }  // namespace
