--- a/src/testkit/daemon_process.cpp
+++ b/src/testkit/daemon_process.cpp
@@ -10,6 +10,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cmath>
 #include <csignal>
 #include <fstream>
@@ -49,6 +50,8 @@
 }
 
 constexpr int kInherited = 5;
+constexpr int kExecPipe = 3;  // in the child, until it becomes the program
+constexpr int kFirstHighDescriptor = 64;
 
 }  // namespace
 
@@ -79,10 +82,21 @@
     std::vector<char*> arguments{place_.program.data()};
     for (std::string& argument : place_.arguments) arguments.push_back(argument.data());
     arguments.push_back(nullptr);
+    // Until it has become the program, the child holds this process's descriptors, and a signal would not be
+    // the program's to handle: the pipe ends when it has.
+    int exec_pipe[2] = {-1, -1};
+    if (pipe2(exec_pipe, O_CLOEXEC) != 0) throw std::runtime_error("cannot start a process");
     const pid_t parent = getpid();
     pid_ = fork();
-    if (pid_ < 0) throw std::runtime_error("cannot start a process");
-    if (pid_ > 0) return;
+    if (pid_ != 0) {
+        close(exec_pipe[1]);
+        char none_comes = 0;
+        while (pid_ > 0 && read(exec_pipe[0], &none_comes, 1) < 0 && errno == EINTR) continue;
+        close(exec_pipe[0]);
+        if (pid_ < 0) throw std::runtime_error("cannot start a process");
+        return;
+    }
+    const int until_exec = fcntl(exec_pipe[1], F_DUPFD_CLOEXEC, kFirstHighDescriptor);
     // However the rehearsal ends, its daemons end with it.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != parent) _exit(127);
@@ -103,7 +117,8 @@
         fcntl(kInherited, F_SETFD, 0);
     }
     const int first_closed = place_.listener >= 0 ? kInherited + 1 : kInherited;
-    for (int fd = 3; fd < kInherited; ++fd) close(fd);
+    dup3(until_exec, kExecPipe, O_CLOEXEC);
+    for (int fd = kExecPipe + 1; fd < kInherited; ++fd) close(fd);
     close_range(static_cast<unsigned>(first_closed), ~0U, 0);
     sigset_t all;
     sigfillset(&all);
