--- a/src/testkit/daemon_process.cpp
+++ b/src/testkit/daemon_process.cpp
@@ -53,6 +53,41 @@
 constexpr int kExecPipe = 3;  // in the child, until it becomes the program
 constexpr int kFirstHighDescriptor = 64;
 
+// In the child: everything up to the exec. Nothing is allocated, since the parent may have threads.
+void become_ready_to_exec(const DaemonProcess::Place& place, const std::string& log, pid_t parent,
+                          int exec_pipe) {
+    const int until_exec = fcntl(exec_pipe, F_DUPFD_CLOEXEC, kFirstHighDescriptor);
+    // However the rehearsal ends, its daemons end with it.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) _exit(127);
+    setpgid(0, 0);  // Ctrl-C is the rehearsal's to hear
+    if (place.cpu >= 0) {
+        cpu_set_t set;
+        CPU_ZERO(&set);
+        CPU_SET(static_cast<std::size_t>(place.cpu), &set);
+        sched_setaffinity(0, sizeof set, &set);
+    }
+    const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int none = open("/dev/null", O_RDONLY);
+    dup2(none, 0);
+    dup2(out, 1);
+    dup2(out, 2);
+    if (place.listener >= 0) {
+        dup2(place.listener, kInherited);
+        fcntl(kInherited, F_SETFD, 0);
+    }
+    const int first_closed = place.listener >= 0 ? kInherited + 1 : kInherited;
+    dup3(until_exec, kExecPipe, O_CLOEXEC);
+    for (int fd = kExecPipe + 1; fd < kInherited; ++fd) close(fd);
+    close_range(static_cast<unsigned>(first_closed), ~0U, 0);
+    sigset_t all;
+    sigfillset(&all);
+    sigprocmask(SIG_UNBLOCK, &all, nullptr);
+    std::signal(SIGINT, SIG_DFL);
+    std::signal(SIGTERM, SIG_DFL);
+    std::signal(SIGPIPE, SIG_DFL);
+}
+
 }  // namespace
 
 DaemonProcess::~DaemonProcess() { kill(); }
@@ -96,36 +131,7 @@
         if (pid_ < 0) throw std::runtime_error("cannot start a process");
         return;
     }
-    const int until_exec = fcntl(exec_pipe[1], F_DUPFD_CLOEXEC, kFirstHighDescriptor);
-    // However the rehearsal ends, its daemons end with it.
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    if (getppid() != parent) _exit(127);
-    setpgid(0, 0);  // Ctrl-C is the rehearsal's to hear
-    if (place_.cpu >= 0) {
-        cpu_set_t set;
-        CPU_ZERO(&set);
-        CPU_SET(static_cast<std::size_t>(place_.cpu), &set);
-        sched_setaffinity(0, sizeof set, &set);
-    }
-    const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    const int none = open("/dev/null", O_RDONLY);
-    dup2(none, 0);
-    dup2(out, 1);
-    dup2(out, 2);
-    if (place_.listener >= 0) {
-        dup2(place_.listener, kInherited);
-        fcntl(kInherited, F_SETFD, 0);
-    }
-    const int first_closed = place_.listener >= 0 ? kInherited + 1 : kInherited;
-    dup3(until_exec, kExecPipe, O_CLOEXEC);
-    for (int fd = kExecPipe + 1; fd < kInherited; ++fd) close(fd);
-    close_range(static_cast<unsigned>(first_closed), ~0U, 0);
-    sigset_t all;
-    sigfillset(&all);
-    sigprocmask(SIG_UNBLOCK, &all, nullptr);
-    std::signal(SIGINT, SIG_DFL);
-    std::signal(SIGTERM, SIG_DFL);
-    std::signal(SIGPIPE, SIG_DFL);
+    become_ready_to_exec(place_, log, parent, exec_pipe[1]);
     execve(place_.program.c_str(), arguments.data(), environment.data());
     _exit(127);
 }
