--- a/src/audit/auditor.h
+++ b/src/audit/auditor.h
@@ -67,10 +67,10 @@
     // The watching process, or the machine, did not run for `delay` seconds until now.
     void on_watcher_delay(double now, double delay);
 
-    // Whether the node was paused from outside at some time after `since`.
     /// For how long the watcher itself was late between two times, in seconds: what it saw there is dated
     /// late.
     double watcher_delay_between(double from, double until) const;
+    // Whether the node was paused from outside at some time after `since`.
     bool was_paused(double since, int node) const { return node_paused_until_[index(node)] >= since; }
     bool has_attempts(int request) const { return !history_.requests[index(request)].attempts.empty(); }
     // Ends all open requests and judges the run.
