--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -319,6 +319,8 @@
     double window = 3;
     std::vector<std::shared_ptr<CacheServer>> caches;
     std::function<AfterWrite(const std::string& id, const std::string& idempotency_key)> after_write;
+    /// Told of each write, with the time at which its last byte had come.
+    std::function<void(const std::string& id, double whole_at)> on_write;
     std::function<std::string(const std::string& key)> value_of = [](const std::string& key) {
         return "value-of-" + key;
     };
@@ -387,6 +389,7 @@
                std::string& receipt) {
         const std::string idempotency_key = property(properties, "k"), told = property(properties, "d");
         const double began = now();
+        if (on_write) on_write(id, began);
         pause(work);
         bool repeat = false;
         {
