--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -6,12 +6,12 @@
 
 int main() {
     const std::string folder = open_case();
-    constexpr int kClients = 60, kMs = 4000, kMemoryMb = 32;
+    constexpr int kRounds = 12, kClients = 60, kMs = 4000, kMemoryMb = 32;
     constexpr long kLimitKb = kMemoryMb * 1024;
-    const std::size_t size = with_trouble() ? 2'000'000 : 60'000;
+    const std::size_t size = with_trouble() ? 1'500'000 : 60'000;
     Deployment deployment(3);
     deployment.origin.no_length = true;
-    deployment.origin.work = 0.005;
+    deployment.origin.work = 0.001;
     deployment.origin.value_of = [size](const std::string& key) { return std::string(size, key.back()); };
     deployment.start();
     NodeOptions options;
@@ -36,25 +36,32 @@
         }
     });
     std::atomic<int> served{0}, refused{0}, failed{0}, lost{0};
-    std::vector<std::thread> threads;
-    for (int i = 0; i < kClients; ++i) {
-        threads.emplace_back([&, i] {
-            const std::string id = "r" + std::to_string(i + 1);
-            Reader in;
-            in.fd = node.connect_client();
-            const double sent = now();
-            if (!send_all(in.fd, read_command("key-" + std::to_string(i + 1), id, kMs))) return;
-            const Answer answer = read_answer(in, sent + kMs / 1e3 + 2);
-            switch (answer.kind) {
-                case Answer::Kind::value: ++served; break;
-                case Answer::Kind::busy: ++refused; break;
-                case Answer::Kind::failed: ++failed; break;
-                default: ++lost; record("client: %s: %s after %.3f s", id.c_str(), name_of(answer.kind), answer.at - sent);
-            }
-            close(in.fd);
-        });
+    int sent_reads = 0;
+    for (int round = 0; round < kRounds && !killed; ++round) {
+        std::vector<std::thread> threads;
+        for (int i = 0; i < kClients; ++i) {
+            ++sent_reads;
+            threads.emplace_back([&, round, i] {
+                const std::string id = "r" + std::to_string(round + 1) + "-" + std::to_string(i + 1);
+                Reader in;
+                in.fd = node.connect_client();
+                const double sent = now();
+                if (!send_all(in.fd, read_command("key-" + id, id, kMs))) return;
+                const Answer answer = read_answer(in, sent + kMs / 1e3 + 2);
+                switch (answer.kind) {
+                    case Answer::Kind::value: ++served; break;
+                    case Answer::Kind::busy: ++refused; break;
+                    case Answer::Kind::failed: ++failed; break;
+                    default:
+                        ++lost;
+                        record("client: %s: %s after %.3f s", id.c_str(), name_of(answer.kind), answer.at - sent);
+                }
+                close(in.fd);
+            });
+        }
+        for (std::thread& thread : threads) thread.join();
+        record("round %d: %d served so far, most memory so far %ld KB", round + 1, served.load(), most.load());
     }
-    for (std::thread& thread : threads) thread.join();
     stop = true;
     platform.join();
     const bool ended = node.has_ended();
@@ -62,9 +69,9 @@
     if (ended && !killed) end_case(2, "the node ended by itself");
     char counts[240];
     std::snprintf(counts, sizeof counts,
-                  "%d reads of %zu bytes at once, %d served, %d refused, %d failed, %d never answered; most memory %ld KB of "
+                  "%d reads of %zu bytes, %d at once, %d served, %d refused, %d failed, %d never answered; most memory %ld KB of "
                   "%ld KB, node %s",
-                  kClients, size, served.load(), refused.load(), failed.load(), lost.load(), most.load(), kLimitKb,
+                  sent_reads, size, kClients, served.load(), refused.load(), failed.load(), lost.load(), most.load(), kLimitKb,
                   killed ? "killed by the platform" : "kept its limit");
     end_case(killed ? 1 : 0, (killed ? "BROKEN: " : "HELD: ") + std::string(counts));
 }
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -324,10 +324,10 @@
     std::function<std::string(const std::string& key)> value_of = [](const std::string& key) {
         return "value-of-" + key;
     };
-    /// Gives values without a length, as chunks of `piece_bytes`.
+    /// Gives values without a length, in pieces of `piece_bytes`, and ends the connection behind them.
     bool no_length = false;
     std::size_t piece_bytes = 50'000;
-    double piece_pause = 0.003;
+    double piece_pause = 0.002;
 
     /// Times at which a write with this idempotency key was applied.
     std::vector<double> applied(const std::string& idempotency_key) {
@@ -363,16 +363,12 @@
                     if (cache->missed(id)) cache->store(key, answer);
                 }
                 if (no_length) {
-                    bool whole = send_all(fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    bool whole = send_all(fd, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
                     for (std::size_t at = 0; whole && at < answer.size(); at += piece_bytes) {
-                        const std::string piece = answer.substr(at, piece_bytes);
-                        char head[24];
-                        std::snprintf(head, sizeof head, "%zx\r\n", piece.size());
-                        whole = send_all(fd, head + piece + "\r\n");
+                        whole = send_all(fd, answer.substr(at, piece_bytes));
                         pause(piece_pause);
                     }
-                    if (!whole || !send_all(fd, "0\r\n\r\n")) break;
-                    continue;
+                    break;
                 }
             } else if (words[0] == "PUT") {
                 if (!apply(fd, key, id, properties, answer)) return;
@@ -431,6 +427,9 @@
 /// wait.
 class Discovery : public Server {
   public:
+    std::atomic<double> bytes_per_second{0};  ///< how fast answers are written; 0: at once
+    std::atomic<bool> gives_whole{false};     ///< answers a watch that is behind with the whole list
+
     void add(ListEntry entry) {
         const std::lock_guard lock(mutex_);
         entries_.push_back(std::move(entry));
@@ -479,16 +478,30 @@
                         return;
                     }
                 }
+                if (gives_whole && version_ > since) since = -1;
                 body = format(since);
             }
-            if (!send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
-                                  std::to_string(body.size()) + "\r\n\r\n" + body))
+            if (bytes_per_second > 0 && body.size() > 1000)
+                record("agent: begins an answer of %zu bytes, the %s", body.size(), since < 0 ? "whole list" : "changes");
+            if (!send_paced(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                                    std::to_string(body.size()) + "\r\n\r\n" + body))
                 break;
         }
         close(fd);
     }
 
   private:
+    bool send_paced(int fd, const std::string& text) const {
+        const double rate = bytes_per_second;
+        if (rate <= 0) return send_all(fd, text);
+        const double began = now();
+        constexpr std::size_t kPiece = 4096;
+        for (std::size_t at = 0; at < text.size(); at += kPiece) {
+            if (!send_all(fd, text.substr(at, kPiece))) return false;
+            pause(began + static_cast<double>(at + kPiece) / rate - now());
+        }
+        return true;
+    }
     std::string format(int since) const {
         std::string text = "{\"seq\":" + std::to_string(version_) +
                            ",\"whole\":" + (since < 0 ? "true" : "false") + ",\"hosts\":[";
