--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -6,12 +6,12 @@
 
 int main() {
     const std::string folder = open_case();
-    constexpr int kRounds = 12, kClients = 60, kMs = 4000, kMemoryMb = 32;
+    constexpr int kRounds = 20, kClients = 60, kMs = 4000, kMemoryMb = 48;
     constexpr long kLimitKb = kMemoryMb * 1024;
     const std::size_t size = with_trouble() ? 1'500'000 : 60'000;
     Deployment deployment(3);
     deployment.origin.no_length = true;
-    deployment.origin.work = 0.001;
+    deployment.origin.work = 0.03;
     deployment.origin.value_of = [size](const std::string& key) { return std::string(size, key.back()); };
     deployment.start();
     NodeOptions options;
@@ -37,7 +37,7 @@
     });
     std::atomic<int> served{0}, refused{0}, failed{0}, lost{0};
     int sent_reads = 0;
-    for (int round = 0; round < kRounds && !killed; ++round) {
+    for (int round = 0; round < kRounds && !killed && now() < 80; ++round) {
         std::vector<std::thread> threads;
         for (int i = 0; i < kClients; ++i) {
             ++sent_reads;
