--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -105,6 +105,7 @@
                                " answered in time, " + std::to_string(late.load()) +
                                " later than half a second after their time, " + std::to_string(never.load()) +
                                " never; " + std::to_string(twice) + " applied twice";
-    const bool broken = late + never + twice > 0;
+    // What the clients try again by themselves is told, and does not decide.
+    const bool broken = late + never > 0;
     end_case(broken ? 1 : 0, (broken ? "BROKEN: " : "HELD: ") + counts);
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -34,6 +34,11 @@
             return send_all(fd, "\r\n") || (close(fd), false);
         };
     }
+    for (const auto& cache : deployment.caches) {
+        cache->on_read = [](CacheServer& server, const std::string& key, const std::string& id, double) {
+            record("%s: read %s of %s", server.name.c_str(), id.c_str(), key.c_str());
+        };
+    }
     deployment.start();
     Node node({}, deployment.discovery, folder);
     if (!node.start()) end_case(2, "the node did not start");
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -47,14 +47,15 @@
                 in.fd = node.connect_client();
                 const double sent = now();
                 if (!send_all(in.fd, read_command("key-" + id, id, kMs))) return;
+                record("client: sent read %s of key-%s, d=%d", id.c_str(), id.c_str(), kMs);
                 const Answer answer = read_answer(in, sent + kMs / 1e3 + 2);
+                record("client: %s: %s, %zu bytes, after %.3f s", id.c_str(), name_of(answer.kind), answer.body.size(),
+                       answer.at - sent);
                 switch (answer.kind) {
                     case Answer::Kind::value: ++served; break;
                     case Answer::Kind::busy: ++refused; break;
                     case Answer::Kind::failed: ++failed; break;
-                    default:
-                        ++lost;
-                        record("client: %s: %s after %.3f s", id.c_str(), name_of(answer.kind), answer.at - sent);
+                    default: ++lost;
                 }
                 close(in.fd);
             });
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -359,6 +359,7 @@
             if (words[0] == "GET" && !id.empty()) {
                 pause(work);
                 answer = value_of(key);
+                record("origin: read %s of %s, gives %zu bytes", id.c_str(), key.c_str(), answer.size());
                 for (const auto& cache : caches) {
                     if (cache->missed(id)) cache->store(key, answer);
                 }
