Long writes that wait for memory are refused in time and not held back by stopped clients

Cause: reserve_long_value() reserved the whole announced length at the first line, and kept it for as long as the client was not timed out; other long writes waited without a bound, and check_clients() renewed last_used and last_received of all that waited, so that a stopped client that waited was not silent either. The time of a command that had waited began anew, because the bytes that its sender's kernel held were dated by when they were received.

Change: memory is reserved once a client has sent more than the ordinary read limit; a client that is silent for 0.25 s keeps only what it has sent while others wait; who waits for half of its time is answered `SERVER_ERROR busy`, its value is discarded and its connection stays usable; a command that has waited is dated back by its wait.

--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -27,6 +27,11 @@
 // inside any command are closed. The time runs from the last byte received, so a slow client that makes
 // progress is served.
 constexpr double kSilenceTimeoutSeconds = 2.5;
+// A client that has sent nothing for this time inside a long value keeps memory only for what it has sent, if
+// others wait for memory.
+constexpr double kReservationStallSeconds = 0.25;
+// A long write waits for memory for this fraction of its time, so that its client can still try elsewhere.
+constexpr double kMaxMemoryWaitFraction = 0.5;
 // A connection that is idle for this time between two commands is closed.
 constexpr double kIdleTimeoutSeconds = 30.0;
 // Clients that send one command and stay connected could occupy all connections. When the idle connections
@@ -58,7 +63,7 @@
       on_command_(std::move(on_command)),
       on_client_closed_(std::move(on_client_closed)),
       stream_callbacks_(std::move(stream_callbacks)),
-      reserved_bytes_limit_(max_bytes / kReservedShareDivisor),
+      long_write_memory_(max_bytes / kReservedShareDivisor),
       listener_(timers, G_PRIORITY_DEFAULT, [this] { accept_connections(); }) {
     check_clients();
 }
@@ -68,7 +73,7 @@
 void ClientConnections::set_budget_share(double share) {
     connection_limit_ = static_cast<std::size_t>(share * static_cast<double>(max_connections_));
     budget_.limit = static_cast<std::size_t>(share * static_cast<double>(max_bytes_));
-    reserved_bytes_limit_ = budget_.limit / kReservedShareDivisor;
+    long_write_memory_.set_limit(budget_.limit / kReservedShareDivisor);
 }
 
 void ClientConnections::stop_accepting() { listener_.close(); }
@@ -100,7 +105,7 @@
     const bool just_connected =
         client.first_command == 0 && monotonic_now() - client.last_used < kFirstCommandGraceSeconds;
     return !client.connection->is_closed() && client.pending.empty() && !just_connected &&
-           !client.connection->has_unread_input();
+           !client.skipped_value && !client.connection->has_unread_input();
 }
 
 // Closes the connection that has been idle the longest. Returns false if none can be closed.
@@ -149,16 +154,23 @@
 void ClientConnections::read_commands(std::uint64_t id, Client& client) {
     client.pause_reason = PauseReason::none;
     while (!client.is_reading_stopped) {
+        if (client.skipped_value && !skip_value(id, client)) return;
         if (client.connection->input().empty()) return;
         const PauseReason reason = find_pause_reason(client);
         if (reason != PauseReason::none) return record_pause_reason(id, client, reason);
         Command command;
         const std::size_t parsed_bytes = parse_command(client.connection->input(), command);
         if (parsed_bytes == 0) {
-            if (!reserve_long_value(client)) client.pause_reason = PauseReason::value_memory_limit;
-            return;
+            if (reserve_long_value(client)) return;
+            if (!is_waiting_too_long(client)) {
+                client.pause_reason = PauseReason::value_memory_limit;
+                return;
+            }
+            refuse_long_write(client);
+            continue;
         }
-        handle_command(id, client, std::move(command), consume(client, parsed_bytes));
+        const double received_at = take_arrival_time(client, consume(client, parsed_bytes));
+        handle_command(id, client, std::move(command), received_at);
     }
     discard_input(client);
 }
@@ -187,20 +199,99 @@
     write_responses(client);
 }
 
-// Reserves memory for the whole long value at the start of the input, before more of it is received. Other
-// clients with long values wait, so that no client has to be closed in the middle of its value. Returns false
-// if this client has to wait.
+// Reserves memory for the whole long value at the start of the input, once the client has sent more of it
+// than the ordinary read limit holds. Other clients with long values wait, so that no client has to be closed
+// in the middle of its value. Returns false if this client has to wait.
 bool ClientConnections::reserve_long_value(Client& client) {
-    if (client.reserved_bytes > 0) return true;
+    if (!client.connection->is_read_buffer_full()) return true;
     const std::size_t length = streamed_write_length(client.connection->input());
     if (length == 0) return true;
-    if (reserved_bytes_ > 0 && reserved_bytes_ + length > reserved_bytes_limit_) return false;
+    if (!long_write_memory_.try_reserve(client.reserved_bytes, length)) return false;
     client.reserved_bytes = length;
-    reserved_bytes_ += length;
+    MemoryWait& wait = client.memory_wait;
+    if (wait.waiting_since > 0) {
+        const double now = monotonic_now();
+        wait.waited += now - std::exchange(wait.waiting_since, 0);
+        // Input that waited in the kernel does not make the client silent.
+        if (client.connection->has_unreceived_input()) client.last_used = client.last_received = now;
+    }
     client.connection->set_read_limit(length + 2 * kMaxLineBytes);
     return true;
 }
 
+void ClientConnections::release_reservation(Client& client) {
+    long_write_memory_.release(std::exchange(client.reserved_bytes, 0));
+}
+
+// A client that stops inside a long value must not keep other long values waiting until it times out. If it
+// continues, it reserves memory for the rest again.
+void ClientConnections::revoke_stalled_reservations(double now) {
+    const bool is_any_waiting = std::any_of(clients_.begin(), clients_.end(), [](const auto& entry) {
+        return !entry.second.connection->is_closed() &&
+               entry.second.pause_reason == PauseReason::value_memory_limit;
+    });
+    if (!is_any_waiting) return;
+    for (auto& [id, client] : clients_) {
+        const std::size_t received = client.connection->input().size();
+        if (client.connection->is_closed() || client.reserved_bytes <= received) continue;
+        if (now - client.last_received < kReservationStallSeconds) continue;
+        if (client.connection->has_unreceived_input()) continue;
+        long_write_memory_.release(client.reserved_bytes - received);
+        client.reserved_bytes = received;
+        client.connection->set_read_limit(received + 1);
+    }
+}
+
+// Begins or continues the wait of the long write at the start of the input. Returns whether it has waited for
+// as long as it may, by the time that its first line states.
+bool ClientConnections::is_waiting_too_long(Client& client) {
+    MemoryWait& wait = client.memory_wait;
+    if (wait.waiting_since == 0) {
+        wait.waiting_since = std::min(monotonic_now(), client.connection->received_at());
+        if (wait.began_at == 0) wait.began_at = wait.waiting_since;
+    }
+    const WriteHeader header = parse_write_header(client.connection->input());
+    const double max_wait =
+        header.time_remaining > 0 ? kMaxMemoryWaitFraction * header.time_remaining : kSilenceTimeoutSeconds;
+    const double waited = wait.waited + monotonic_now() - wait.waiting_since;
+    return waited >= std::min(max_wait, kSilenceTimeoutSeconds);
+}
+
+// Answers the long write at the start of the input as rejected and discards its value, of which nothing has
+// been passed on. The connection remains usable.
+void ClientConnections::refuse_long_write(Client& client) {
+    log_.line(Topic::client, "long_write_refused",
+              "long write rejected: no memory was available for its value in time");
+    const WriteHeader header = parse_write_header(client.connection->input());
+    (void)consume(client, header.header_bytes);
+    client.skipped_value.emplace(header.length);
+    client.memory_wait = {};
+    release_reservation(client);
+    client.connection->set_read_limit(kReadLimitBytes);
+    finish_response(client.pending.emplace_back(), format_busy(0));
+    ++unanswered_commands_;
+    write_responses(client);
+}
+
+// Discards the received part of a refused command's value. Returns whether the value has ended.
+bool ClientConnections::skip_value(std::uint64_t id, Client& client) {
+    const ValueSkipper::Progress progress = client.skipped_value->skip(client.connection->input());
+    (void)consume(client, progress.bytes);
+    if (progress.status == ValueSkipper::Status::incomplete) return false;
+    client.skipped_value.reset();
+    if (progress.status == ValueSkipper::Status::complete) return true;
+    reject_connection(id, client, "CLIENT_ERROR bad data chunk");
+    return false;
+}
+
+// Returns when the command just consumed arrived at the earliest. While it waited for memory, its sender
+// could not send the rest, so its last byte may have been sent earlier by the time of that wait.
+double ClientConnections::take_arrival_time(Client& client, double received_at) {
+    const MemoryWait wait = std::exchange(client.memory_wait, {});
+    if (wait.waited == 0) return received_at;
+    return std::min(received_at, std::max(wait.began_at, received_at - wait.waited));
+}
+
 // A command and its response can each hold a value of the maximum size, so the number of commands pipelined
 // by all clients is limited. The limit does not apply to the first unanswered command of a client.
 bool ClientConnections::is_total_command_limit_reached() const {
@@ -226,7 +317,8 @@
     const std::string_view input = client.connection->input();
     Command command;
     const bool is_command_available =
-        (client.reserved_bytes == 0 && streamed_write_length(input) > 0) || parse_command(input, command) > 0;
+        (client.connection->is_read_buffer_full() && streamed_write_length(input) > 0) ||
+        parse_command(input, command) > 0;
     if (!is_command_available) return;
     client.pause_reason = reason;
     if (reason != PauseReason::total_command_limit) return;
@@ -270,6 +362,7 @@
     finish_response(client.pending.emplace_back(), std::string(line) + "\r\n");
     ++unanswered_commands_;
     stop_reading(client, CloseReason::rejected);
+    release_reservation(client);
     discard_input(client);
     write_responses(client);
     close_if_done(id, client);
@@ -295,11 +388,10 @@
 
 void ClientConnections::check_clients() {
     const double now = monotonic_now();
+    revoke_stalled_reservations(now);
     for (auto& [id, client] : clients_) {
-        if (!client.connection->is_closed() && client.pause_reason == PauseReason::value_memory_limit) {
-            client.last_used = client.last_received = now;
+        if (!client.connection->is_closed() && client.pause_reason == PauseReason::value_memory_limit)
             read_commands(id, client);
-        }
         if (!client.connection->is_closed()) check_timeouts(id, client, now);
         if (is_shutting_down_ && !client.connection->is_closed()) close_if_done(id, client);
     }
@@ -329,13 +421,16 @@
     // A client is not silent while this node has paused reading its input or has not yet received it.
     const bool is_read = !client.is_reading_stopped && client.pause_reason == PauseReason::none &&
                          !client.connection->has_unreceived_input();
-    const bool is_stalled_in_command = is_read && !client.connection->input().empty() &&
-                                       now - client.last_received >= kSilenceTimeoutSeconds;
-    const bool is_silent =
-        is_read && client.connection->input().empty() && now - client.last_used >= kSilenceTimeoutSeconds;
+    const bool is_in_command = !client.connection->input().empty() || client.skipped_value;
+    const bool is_stalled_in_command =
+        is_read && is_in_command && now - client.last_received >= kSilenceTimeoutSeconds;
+    const bool is_silent = is_read && !is_in_command && now - client.last_used >= kSilenceTimeoutSeconds;
     if (client.unread_response_bytes > 0) {
         const double limit = is_stalled_in_command ? kSilenceTimeoutSeconds : kUnreadResponseTimeoutSeconds;
         if (now - client.unread_since >= limit) close(id, client, CloseReason::unread_responses);
+    } else if (is_stalled_in_command && client.skipped_value) {
+        stop_reading(client, CloseReason::rejected);  // its command is already answered
+        close_if_done(id, client);
     } else if (is_stalled_in_command) {
         reject_connection(id, client, "CLIENT_ERROR incomplete command");
     } else if (is_silent && client.pending.empty() &&
@@ -485,7 +580,7 @@
             client.pending.front().is_partly_written = true;
             break;
         }
-        reserved_bytes_ -= client.pending.front().reserved_bytes;
+        long_write_memory_.release(client.pending.front().reserved_bytes);
         client.pending.pop_front();
         ++client.first_command;
         --unanswered_commands_;
@@ -593,10 +688,10 @@
 
 void ClientConnections::abandon_pending(std::uint64_t id, Client& client) {
     unanswered_commands_ -= client.pending.size();
-    reserved_bytes_ -= std::exchange(client.reserved_bytes, 0);
+    release_reservation(client);
     for (std::size_t i = 0; i < client.pending.size(); ++i) {
         budget_.used -= client.pending[i].text.size();
-        reserved_bytes_ -= client.pending[i].reserved_bytes;
+        long_write_memory_.release(client.pending[i].reserved_bytes);
         if (client.pending[i].stream != 0) {
             stream_callbacks_.on_abandoned(client.pending[i].stream);
         } else if (!client.pending[i].is_ready && client.pending[i].request != kNoRequest) {
--- a/src/downstream/client_connections.h
+++ b/src/downstream/client_connections.h
@@ -18,11 +18,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "downstream/arrival_times.h"
+#include "downstream/long_write_memory.h"
+#include "downstream/value_skipper.h"
 #include "guard/close_guard.h"
 #include "guard/violations.h"
 #include "io/listener.h"
@@ -129,7 +132,14 @@
         client_command_limit,  // the client's pipeline is full or has a stream; resumed by a response
         // all clients together have too many unanswered commands; resumed by resume_paused_clients()
         total_command_limit,
-        value_memory_limit,  // no memory is left for its long value; resumed by check_clients()
+        // no memory is left for its long value; resumed by check_clients(), which refuses the command in time
+        value_memory_limit,
+    };
+    /// How long the command at the start of the input has waited for memory.
+    struct MemoryWait {
+        double began_at = 0;       // when it first waited; 0: it has not waited
+        double waiting_since = 0;  // 0: it is not waiting now
+        double waited = 0;         // seconds, over all waits that have ended
     };
     struct Client {
         std::unique_ptr<TcpConnection> connection;
@@ -145,6 +155,8 @@
         CloseReason close_reason = CloseReason::count;  // set once `is_closing` or `is_reading_stopped` is
         TimerQueue::Handle linger_timer;
         std::size_t reserved_bytes = 0;  // bytes reserved for the long value being received
+        MemoryWait memory_wait;
+        std::optional<ValueSkipper> skipped_value;  // of a refused command, while it is being received
         PauseReason pause_reason = PauseReason::none;
     };
 
@@ -162,6 +174,12 @@
     double consume(Client& client, std::size_t bytes);
     void discard_input(Client& client);
     bool reserve_long_value(Client& client);
+    void release_reservation(Client& client);
+    void revoke_stalled_reservations(double now);
+    bool is_waiting_too_long(Client& client);
+    void refuse_long_write(Client& client);
+    bool skip_value(std::uint64_t id, Client& client);
+    static double take_arrival_time(Client& client, double received_at);
     void shed_input(std::uint64_t id, Client& client);
     Client* find(const RequestHandle& handle);
     void finish_response(PendingResponse& response, std::string text);
@@ -193,8 +211,7 @@
     OnCommand on_command_;
     OnClientClosed on_client_closed_;
     StreamCallbacks stream_callbacks_;
-    std::size_t reserved_bytes_limit_;
-    std::size_t reserved_bytes_ = 0;  // bytes reserved for the long values that clients write
+    LongWriteMemory long_write_memory_;
     Listener listener_;
     std::map<std::uint64_t, Client> clients_;
     std::vector<std::uint64_t> closed_;
--- a/src/protocol/memcache_text.cpp
+++ b/src/protocol/memcache_text.cpp
@@ -214,15 +214,23 @@
     return {parsed_bytes, length, kLineEnd.size(), parse_id(line), true};
 }
 
+WriteHeader parse_write_header(std::string_view input) {
+    WriteHeader header;
+    std::size_t line_bytes = 0;
+    std::string_view line = first_line(input, line_bytes);
+    if (line_bytes == 0 || next_word(line) != "ms") return {};
+    next_word(line);  // the key
+    if (!parse_number(next_word(line), header.length)) return {};
+    header.header_bytes = line_bytes;
+    Command command;
+    command.kind = Command::Kind::write;
+    if (parse_flags(line, command) == nullptr) header.time_remaining = command.attributes.time_remaining;
+    return header;
+}
+
 std::size_t streamed_write_length(std::string_view input) {
-    std::size_t parsed_bytes = 0, length = 0;
-    std::string_view line = first_line(input, parsed_bytes);
-    if (parsed_bytes == 0 || next_word(line) != "ms") return 0;
-    next_word(line);
-    return parse_number(next_word(line), length) && length > kMaxBufferedValueBytes &&
-                   length <= kMaxValueBytes
-               ? length
-               : 0;
+    const std::size_t length = parse_write_header(input).length;
+    return length > kMaxBufferedValueBytes && length <= kMaxValueBytes ? length : 0;
 }
 
 std::string format_attributes(const RequestAttributes& attributes, double time_left) {
--- a/src/protocol/memcache_text.h
+++ b/src/protocol/memcache_text.h
@@ -55,6 +55,14 @@
 
 /// Parses the header of a reply with a long value.
 StreamedValue parse_streamed_reply(std::string_view input);
+/// The first line of a write whose value may not have arrived.
+struct WriteHeader {
+    std::size_t header_bytes = 0;  // bytes before the value; 0: not the complete first line of a write
+    std::size_t length = 0;        // bytes of the value
+    double time_remaining = 0;     // seconds; 0 if the line states none or is malformed
+};
+/// Parses the first line of the first command if it is a write.
+WriteHeader parse_write_header(std::string_view input);
 /// Returns the length of the long value that the first command writes, or 0 if it writes none.
 std::size_t streamed_write_length(std::string_view input);
 
--- a/tests/client_connections_test.cpp
+++ b/tests/client_connections_test.cpp
@@ -101,6 +101,124 @@
     EXPECT_LT(now_seconds() - stopped_at, kIncompleteCommandLimitSeconds);
 }
 
+// ---- long writes that wait for memory
+// ----------------------------------------------------------------------
+
+// With this memory_mb, one of these values leaves no memory for other long writes.
+constexpr int kSmallMemoryMb = 32;
+constexpr std::size_t kLargestWriteBytes = 4'000'000;
+constexpr std::size_t kLongWriteBytes = 300'000;
+
+std::string write_header(const std::string& id, std::size_t bytes, int ms) {
+    return "ms " + id + " " + std::to_string(bytes) + " O" + id + " Pc=put,d=" + std::to_string(ms) +
+           ",k=" + id + "\r\n";
+}
+
+std::string whole_write(const std::string& id, std::size_t bytes, int ms) {
+    return write_header(id, bytes, ms) + std::string(bytes, 'v') + "\r\n";
+}
+
+// The time that the write `id` told the origin, in seconds, or -1 if it did not come there.
+double told_time(Fleet& fleet, const std::string& id) {
+    for (const std::string& message : fleet.origin.received_messages()) {
+        if (message.find("X-Trace-Id: " + id + "\r\n") == std::string::npos) continue;
+        return std::stod(message.substr(message.find(",d=") + 3)) / 1e3;
+    }
+    return -1;
+}
+
+class StalledLongWrite : public testing::TestWithParam<std::size_t> {};
+
+// Guards against clients that stop inside a long write and keep the long writes of all others waiting: these
+// were answered seconds after their time, and were applied after their clients had tried elsewhere.
+TEST_P(StalledLongWrite, DoesNotDelayOtherLongWrites) {
+    constexpr int kMs = 1200;
+    NodeOptions options;
+    options.memory_mb = kSmallMemoryMb;
+    Fleet fleet(1, options);
+    std::list<TestSocket> stalled;
+    for (const char* id : {"bad1", "bad2"}) {
+        stalled.emplace_back(own_loopback(), fleet.port());
+        stalled.back().send(write_header(id, kLargestWriteBytes, 1600) + std::string(GetParam(), 'x'));
+    }
+    const double stalled_at = now_seconds();
+    std::this_thread::sleep_for(200 * kMillisecond);
+    std::list<TestSocket> writers;
+    const double sent_at = now_seconds();
+    for (int n = 0; n < 4; ++n) {
+        writers.emplace_back(own_loopback(), fleet.port());
+        writers.back().send(whole_write("w" + std::to_string(n), kLongWriteBytes, kMs));
+    }
+    for (TestSocket& writer : writers) EXPECT_TRUE(writer.until("\r\n").starts_with("HD Ow"));
+    EXPECT_LT(now_seconds() - sent_at, kMs / 1e3);
+    for (TestSocket& client : stalled) EXPECT_NE(client.until("\r\n"), "");
+    EXPECT_LT(now_seconds() - stalled_at, kIncompleteCommandLimitSeconds);
+}
+
+INSTANTIATE_TEST_SUITE_P(BytesOfTheValueSent, StalledLongWrite, testing::Values(1000, 200'000),
+                         [](const auto& c) { return std::to_string(c.param); });
+
+// Guards against long writes that wait for memory without a bound, here because of a client that is slow but
+// never silent. They must be refused in time, and their connections remain usable.
+TEST(LongWrite, ThatGetsNoMemoryIsRefusedInTime) {
+    constexpr int kMs = 1200;
+    NodeOptions options;
+    options.memory_mb = kSmallMemoryMb;
+    Fleet fleet(1, options);
+    TestSocket slow(own_loopback(), fleet.port());
+    slow.send(write_header("slow", kLargestWriteBytes, 9000) + std::string(200'000, 'x'));
+    const std::jthread trickle([&slow](const std::stop_token& stop) {
+        while (!stop.stop_requested()) {
+            slow.send("x");
+            std::this_thread::sleep_for(50 * kMillisecond);
+        }
+    });
+    std::this_thread::sleep_for(200 * kMillisecond);
+    TestSocket writer(own_loopback(), fleet.port());
+    const double sent_at = now_seconds();
+    writer.send(whole_write("w1", kLongWriteBytes, kMs) + read_of("7f3a", "r1"));
+    EXPECT_EQ(writer.until("\r\n"), "SERVER_ERROR busy\r\n");
+    EXPECT_LT(now_seconds() - sent_at, kMs / 1e3);
+    EXPECT_EQ(writer.until("hello\r\n"), "VA 5 Or1\r\nhello\r\n");
+    EXPECT_EQ(told_time(fleet, "w1"), -1);
+    TestSocket stopped(own_loopback(), fleet.port());
+    const double stopped_at = now_seconds();
+    stopped.send(write_header("w2", kLargestWriteBytes, kMs) + std::string(200'000, 'x'));
+    EXPECT_EQ(stopped.until("\r\n"), "SERVER_ERROR busy\r\n");
+    EXPECT_LT(now_seconds() - stopped_at, kIncompleteCommandLimitSeconds);
+    EXPECT_TRUE(stopped.closed_by_peer());
+}
+
+// Guards against a deadline that begins anew once memory is available: the bytes that the sender's kernel
+// held meanwhile counted as sent when they were received.
+TEST(LongWrite, ThatWaitedForMemoryKeepsItsAge) {
+    constexpr double kAllowedExcessSeconds = 0.15;
+    constexpr auto kHeld = 700 * kMillisecond;
+    NodeOptions options;
+    options.memory_mb = kSmallMemoryMb;
+    Fleet fleet(1, options);
+    TestSocket holder(own_loopback(), fleet.port());
+    constexpr std::size_t kFirstBytes = 200'000;
+    holder.send(write_header("holder", kLargestWriteBytes, 9000) + std::string(kFirstBytes, 'x'));
+    std::this_thread::sleep_for(100 * kMillisecond);
+    TestSocket writer(own_loopback(), fleet.port());
+    // Two megabytes do not fit into the node's receive buffer.
+    writer.send(whole_write("w1", 2'000'000, 2000));
+    const double sent_at = now_seconds();
+    std::size_t holder_bytes = kFirstBytes;
+    while (now_seconds() - sent_at < std::chrono::duration<double>(kHeld).count()) {
+        holder.send("x");
+        ++holder_bytes;
+        std::this_thread::sleep_for(50 * kMillisecond);
+    }
+    holder.send(std::string(kLargestWriteBytes - holder_bytes, 'x') + "\r\n");
+    EXPECT_EQ(holder.until("\r\n"), "HD Oholder cmade\r\n");
+    EXPECT_EQ(writer.until("\r\n"), "HD Ow1 cmade\r\n");
+    const double told = told_time(fleet, "w1");
+    EXPECT_GT(told, 0);
+    EXPECT_LT(told, 2.0 - std::chrono::duration<double>(kHeld).count() + kAllowedExcessSeconds);
+}
+
 // ---- streamed responses that break off -------------------------------------------------------------------
 
 // A streamed value that breaks off after a part of it was written closes the client connection. Commands that
--- a/tests/text_test.cpp
+++ b/tests/text_test.cpp
@@ -126,6 +126,18 @@
     EXPECT_EQ(format_busy(0.25), "SERVER_ERROR busy 250\r\n");
 }
 
+TEST(MemcacheText, TheFirstLineOfAWriteIsParsedBeforeItsValue) {
+    const std::string line = "ms k 300000 O1 Pc=put,d=1200\r\n";
+    const WriteHeader header = parse_write_header(line + "part of the value");
+    EXPECT_EQ(header.header_bytes, line.size());
+    EXPECT_EQ(header.length, 300'000U);
+    EXPECT_EQ(header.time_remaining, 1.2);
+    EXPECT_EQ(parse_write_header("ms k 300000 O1 Pc=put\r\n").time_remaining, 0);
+    for (const char* other :
+         {"", "ms k 300000 O1 Pc=put,d=1200", "mg k v O1 Pc=read,d=1200\r\n", "ms k x\r\n"})
+        EXPECT_EQ(parse_write_header(other).header_bytes, 0U) << other;
+}
+
 TEST(HttpResponses, AreParsedOnlyWhenComplete) {
     struct Case {
         std::string in;
