A long value with commands behind it is written once it is complete

Cause: such a value was collected only for half of the time to its latency objective, or until the byte budget was reached, and was written from its next chunk on. Once a part was written, a value that broke off could only end the connection, and end_stream() dropped the answers behind it. write_buffered() took the mark `is_buffered` also from an answer that was not in front, and end_stream() then dropped its text.

Its memory is counted before it is received; where there is none, it stays on the server's connection until there is. write_buffered() is gone.

--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -395,6 +395,7 @@
         if (!client.connection->is_closed()) check_timeouts(id, client, now);
         if (is_shutting_down_ && !client.connection->is_closed()) close_if_done(id, client);
     }
+    resume_buffered_streams();
     close_longest_idle(now);
     timers_.schedule(now + kTimeoutCheckIntervalSeconds, [this] { check_clients(); });
 }
@@ -478,33 +479,50 @@
     response.text = std::move(header);
     response.stream = stream;
     const bool is_last = handle.command + 1 == client->first_command + client->pending.size();
-    if (is_last || budget_.used + terms.length > budget_.limit) return write_responses(*client);
+    if (is_last && client->connection->input().empty()) return write_responses(*client);
     response.is_buffered = true;
-    response.write_from = terms.write_from;
-    response.text.reserve(response.text.size() + terms.length + kLineEndBytes);
+    response.awaited_memory = terms.length;
     timers_.schedule(terms.give_up_at, [this, handle] { fail_buffered_response(handle); });
-    stream_callbacks_.on_writable(stream);
+    if (reserve_buffer(response)) stream_callbacks_.on_writable(stream);
 }
 
-// Writes what is buffered of the response; further chunks are written as they arrive. Waiting longer would
-// delay the first bytes, by which the client measures latency. If the stream breaks off now, later responses
-// are lost.
-void ClientConnections::write_buffered(Client& client, PendingResponse& response) {
-    response.is_buffered = false;
-    write_responses(client);
+// Reserves memory for the body that a buffered response waits for. Returns false if it has to wait.
+bool ClientConnections::reserve_buffer(PendingResponse& response) {
+    if (budget_.used + response.awaited_memory > budget_.limit) return false;
+    response.unfilled_bytes = std::exchange(response.awaited_memory, 0);
+    budget_.used += response.unfilled_bytes;
+    response.text.reserve(response.text.size() + response.unfilled_bytes + kLineEndBytes);
+    return true;
 }
 
-// Fails a buffered response that has stalled. None of it is written yet, so an error line can replace it
-// before the client times out.
+// Frees the memory of a response's text, and what is reserved for the rest of it.
+void ClientConnections::drop_buffer(PendingResponse& response) {
+    budget_.used -= response.text.size() + std::exchange(response.unfilled_bytes, 0);
+    response.text = {};
+}
+
+void ClientConnections::resume_buffered_streams() {
+    std::vector<std::uint64_t> resumed;
+    for (auto& [id, client] : clients_) {
+        for (PendingResponse& response : client.pending) {
+            if (response.awaited_memory > 0 && reserve_buffer(response)) resumed.push_back(response.stream);
+        }
+    }
+    for (const std::uint64_t stream : resumed) stream_callbacks_.on_writable(stream);
+}
+
+// Fails a buffered response that is not complete in time. None of it is written yet, so an error line can
+// replace it before the client times out.
 void ClientConnections::fail_buffered_response(const RequestHandle& handle) {
     Client* client = find(handle);
     if (client == nullptr || !response_to(*client, handle).is_buffered) return;
     PendingResponse& response = response_to(*client, handle);
     log_.line(Topic::client, "value_given_up",
-              "long value abandoned: it stalled while further commands of its client were pending");
+              "long value abandoned: it was not complete in time while further commands of its client were "
+              "pending");
     response.is_buffered = false;
-    budget_.used -= response.text.size();
-    response.text = {};
+    response.awaited_memory = 0;
+    drop_buffer(response);
     stream_callbacks_.on_abandoned(std::exchange(response.stream, 0));
     finish_response(response, kFailedLine);
     write_responses(*client);
@@ -519,7 +537,7 @@
     if (entry == clients_.end() || entry->second.connection->is_closed()) return 0;
     const std::uint64_t index = handle.command - entry->second.first_command;
     if (index < entry->second.pending.size() && entry->second.pending[index].is_buffered)
-        return kStreamWindowBytes;
+        return entry->second.pending[index].awaited_memory > 0 ? 0 : kStreamWindowBytes;
     if (index != 0) return 0;
     const std::size_t unwritten = entry->second.connection->unwritten_bytes();
     return unwritten < kStreamWindowBytes ? kStreamWindowBytes - unwritten : 0;
@@ -532,8 +550,7 @@
     PendingResponse& response = response_to(*client, handle);
     if (!response.is_buffered) return client->connection->write(bytes);
     response.text += bytes;
-    budget_.used += bytes.size();
-    if (budget_.exceeded() || monotonic_now() >= response.write_from) write_buffered(*client, response);
+    response.unfilled_bytes -= bytes.size();
 }
 
 void ClientConnections::end_stream(const RequestHandle& handle, bool complete, std::string_view line) {
@@ -541,10 +558,10 @@
     if (client == nullptr) return;
     PendingResponse& response = response_to(*client, handle);
     response.stream = 0;
-    const bool has_buffered_body = std::exchange(response.is_buffered, false) && complete;
-    budget_.used -= response.text.size();
-    std::string text = has_buffered_body ? std::move(response.text) : std::string();
-    response.text.clear();
+    response.is_buffered = false;
+    response.awaited_memory = 0;
+    budget_.used -= response.text.size() + std::exchange(response.unfilled_bytes, 0);
+    std::string text = std::exchange(response.text, {});
     if (!complete && response.is_partly_written) {
         log_.line(Topic::client, "value_broken_off",
                   "client connection closed: the rest of a partly sent value is not available");
@@ -557,7 +574,7 @@
         abandon_pending(handle.connection, *client);
         return close_if_done(handle.connection, *client);
     }
-    finish_response(response, complete ? text + "\r\n" : std::string(line));
+    finish_response(response, complete ? std::move(text.append("\r\n")) : std::string(line));
     write_responses(*client);
     read_commands(handle.connection, *client);
     close_if_done(handle.connection, *client);
@@ -690,7 +707,7 @@
     unanswered_commands_ -= client.pending.size();
     release_reservation(client);
     for (std::size_t i = 0; i < client.pending.size(); ++i) {
-        budget_.used -= client.pending[i].text.size();
+        drop_buffer(client.pending[i]);
         long_write_memory_.release(client.pending[i].reserved_bytes);
         if (client.pending[i].stream != 0) {
             stream_callbacks_.on_abandoned(client.pending[i].stream);
--- a/src/downstream/client_connections.h
+++ b/src/downstream/client_connections.h
@@ -78,11 +78,10 @@
     void respond(const RequestHandle& handle, std::string text);
     /// Controls the buffering of a streamed response when further commands of its client are already read: if
     /// the stream broke off after its first byte, the connection would close and their responses would be
-    /// lost. The response is written once it is complete, or with the first chunk after `write_from`. If it
-    /// stalls until `give_up_at`, an error line replaces it.
+    /// lost. So none of it is written until it is complete, and it is received only once there is memory for
+    /// all of it. If it is incomplete at `give_up_at`, an error line replaces it.
     struct StreamTerms {
         std::size_t length = 0;  // bytes that follow in chunks
-        double write_from = 0;   // s, monotonic
         double give_up_at = 0;   // s, monotonic
     };
     /// Begins a streamed response with its header. The chunks follow, each within stream_capacity().
@@ -121,8 +120,10 @@
         std::string text;
         std::uint64_t stream = 0;        // id of the streamed response, or 0
         bool is_partly_written = false;  // a part of the streamed response is written
-        bool is_buffered = false;  // the streamed response is buffered in `text` until it may be written
-        double write_from = 0;     // of a buffered response, see StreamTerms
+        bool is_buffered = false;        // the streamed response is buffered in `text` until it is complete
+        // Bytes that a buffered response waits for memory for before it is received, or 0.
+        std::size_t awaited_memory = 0;
+        std::size_t unfilled_bytes = 0;  // bytes counted in the budget that a buffered response still lacks
         std::size_t reserved_bytes = 0;  // bytes reserved for the command's value
     };
     /// Why reading is paused although the input may hold a complete command, and what resumes it.
@@ -184,7 +185,9 @@
     Client* find(const RequestHandle& handle);
     void finish_response(PendingResponse& response, std::string text);
     PendingResponse& response_to(Client& client, const RequestHandle& handle);
-    void write_buffered(Client& client, PendingResponse& response);
+    bool reserve_buffer(PendingResponse& response);
+    void drop_buffer(PendingResponse& response);
+    void resume_buffered_streams();
     void fail_buffered_response(const RequestHandle& handle);
     void write_responses(Client& client);
     void reject_connection(std::uint64_t id, Client& client, const char* line);
--- a/src/downstream/long_write_memory.h
+++ b/src/downstream/long_write_memory.h
@@ -16,8 +16,8 @@
 
     /// Changes the limit. Present reservations are kept.
     void set_limit(std::size_t limit) { limit_ = limit; }
-    /// Grows one reservation from `held` to `wanted` bytes. Returns false, without an effect, if the sum would
-    /// exceed the limit. A reservation is always granted if there is no other, so that each value fits.
+    /// Grows one reservation from `held` to `wanted` bytes. Returns false, without an effect, if the sum
+    /// would exceed the limit. A reservation is always granted if there is no other, so that each value fits.
     bool try_reserve(std::size_t held, std::size_t wanted) {
         const std::size_t others = reserved_ - held;
         if (others > 0 && others + wanted > limit_) return false;
--- a/src/downstream/value_skipper.h
+++ b/src/downstream/value_skipper.h
@@ -7,7 +7,8 @@
 
 namespace brookrelay {
 
-/// Finds the end of one value and of the line end behind it, in input that arrives in pieces. Sizes are bytes.
+/// Finds the end of one value and of the line end behind it, in input that arrives in pieces. Sizes are
+/// bytes.
 class ValueSkipper {
   public:
     enum class Status {
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -475,14 +475,6 @@
     balancer_->on_client_closed(now, request);
 }
 
-// Collecting a streamed response delays its first byte, which determines its latency for the client. So
-// writing begins once half of the time left until the latency objective has passed.
-ClientConnections::StreamTerms Node::stream_terms(const ActiveRequest& active, std::size_t length,
-                                                  double now) {
-    const double due = std::min(active.deadline, active.received_at + active.operation.latency_objective);
-    return {length, now + std::max(0.0, due - now) / 2, active.deadline - kStreamGiveUpMargin};
-}
-
 void Node::on_attempt_finished(double now, UpstreamPool::AttemptResult& result) {
     if (result.request == UpstreamPool::kHealthCheck)
         return balancer_->on_health_check(now, result.server, result.outcome, result.latency);
@@ -494,12 +486,14 @@
         active.may_have_run_since = 0;
     if (result.stream != 0 && !active.answered) {
         // The first bytes go to the client now, so no other attempt can answer the request.
-        action_queue_.emplace_back([this, client = active.client, stream = result.stream,
-                                    head = format_value_header(active.command.id, result.stream_length),
-                                    terms = stream_terms(active, result.stream_length, now)]() mutable {
-            streams_.emplace(stream, client);
-            clients_.begin_stream(client, std::move(head), stream, terms);
-        });
+        action_queue_.emplace_back(
+            [this, client = active.client, stream = result.stream,
+             head = format_value_header(active.command.id, result.stream_length),
+             terms = ClientConnections::StreamTerms{result.stream_length,
+                                                    active.deadline - kStreamGiveUpMargin}]() mutable {
+                streams_.emplace(stream, client);
+                clients_.begin_stream(client, std::move(head), stream, terms);
+            });
         finish(result.request, RequestEnd::streamed);
     } else if (result.stream != 0) {
         pool_.abandon_stream(result.stream);
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -99,8 +99,6 @@
     void on_connection_closed(const ClientConnections::RequestHandle& client, int request);
     void start_request(double now, int request, int operation);
     void on_attempt_finished(double now, UpstreamPool::AttemptResult& result);
-    static ClientConnections::StreamTerms stream_terms(const ActiveRequest& active, std::size_t length,
-                                                       double now);
     void abandon_request(double now, int request, RequestEnd end);
     void apply_endpoint_update(double now, UpdateKind kind, const EndpointUpdate& update);
     void remove_unlisted(std::vector<int>& changed);
--- a/tests/client_connections_test.cpp
+++ b/tests/client_connections_test.cpp
@@ -263,4 +263,82 @@
     EXPECT_EQ(line.until("hello\r\n"), "VA 5 Obehind\r\nhello\r\n");
 }
 
+// The response to a read of a long value, which is sent in pieces. It breaks off after `sent_pieces`.
+ScriptedResponse in_pieces(const std::string& message, std::size_t piece_bytes, int pieces, int sent_pieces,
+                           int interval_ms) {
+    ScriptedResponse response{"VA " + std::to_string(piece_bytes * static_cast<std::size_t>(pieces)) + " O" +
+                              id_in(message) + " h1\r\n"};
+    response.pieces.assign(static_cast<std::size_t>(sent_pieces), std::string(piece_bytes, 'x'));
+    response.piece_interval_ms = interval_ms;
+    response.reset = sent_pieces < pieces;
+    if (!response.reset) response.pieces.back() += "\r\n";
+    return response;
+}
+
+// Guards against a write that is applied and never answered: the value of the read before it was written to
+// the client from half of its latency objective on, and broke off afterwards.
+TEST(TruncatedValue, ThatBreaksOffLateDoesNotLoseTheNextCommand) {
+    Fleet fleet(1);
+    fleet.caches.front().set_script(
+        [](const std::string& message) { return in_pieces(message, 25'000, 40, 30, 40); });
+    fleet.origin.set_script([](const std::string& message) {
+        return ScriptedResponse{http("made", message.starts_with("PUT") ? "200 OK" : "500 E")};
+    });
+    TestSocket line(own_loopback(), fleet.port());
+    line.send(read_of("7f3a", "long", 4000) + "ms k 1 Ow1 Pc=put,d=1600,k=w1\r\nx\r\n");
+    EXPECT_EQ(line.until("\r\n"), "SERVER_ERROR failed\r\n");
+    EXPECT_EQ(line.until("\r\n"), "HD Ow1 cmade\r\n");
+}
+
+// Guards against the same loss for want of memory: a value for which there is no memory is not received
+// before there is, and is not written before it is complete.
+TEST(TruncatedValue, ThatWaitsForMemoryDoesNotLoseTheNextCommand) {
+    constexpr int kClients = 6;
+    for (const bool is_truncated : {false, true}) {
+        SCOPED_TRACE(is_truncated ? "truncated" : "whole");
+        NodeOptions options;
+        options.memory_mb = kSmallMemoryMb;
+        Fleet fleet(1, options);
+        fleet.caches.front().set_script([is_truncated](const std::string& message) {
+            return in_pieces(message, 100'000, 30, is_truncated ? 25 : 30, 10);
+        });
+        fleet.origin.set_script([](const std::string& message) {
+            return ScriptedResponse{http("made", message.starts_with("PUT") ? "200 OK" : "500 E")};
+        });
+        std::list<TestSocket> clients;
+        for (int n = 0; n < kClients; ++n) {
+            const std::string tag = std::to_string(n);
+            clients.emplace_back(own_loopback(), fleet.port());
+            clients.back().send(read_of("key" + tag, "long" + tag) + "ms k" + tag + " 1 Ow" + tag +
+                                " Pc=put,d=9000,k=" + tag + "\r\nx\r\n");
+        }
+        int n = 0;
+        for (TestSocket& client : clients) {
+            const std::string first = client.until("\r\n");
+            EXPECT_EQ(first.starts_with("VA 3000000 "), !is_truncated) << first.substr(0, 80);
+            if (!is_truncated) {
+                EXPECT_EQ(client.bytes(3'000'002).size(), 3'000'002U);
+            }
+            EXPECT_EQ(client.until("\r\n"), "HD Ow" + std::to_string(n++) + " cmade\r\n");
+        }
+    }
+}
+
+// Guards against an empty line in place of a long value that becomes complete while an earlier command of its
+// client is unanswered.
+TEST(LongValue, BetweenTwoCommandsIsWrittenWhole) {
+    Fleet fleet(1);
+    fleet.caches.front().set_script([](const std::string& message) {
+        if (id_in(message) == "long") return in_pieces(message, 60'000, 5, 5, 115);
+        if (id_in(message) == "first") std::this_thread::sleep_for(1500 * kMillisecond);
+        return hit(message);
+    });
+    TestSocket line(own_loopback(), fleet.port());
+    line.send(read_of("1", "first") + read_of("2", "long") + read_of("3", "last"));
+    EXPECT_EQ(line.until("hello\r\n"), "VA 5 Ofirst\r\nhello\r\n");
+    EXPECT_EQ(line.until("\r\n"), "VA 300000 Olong\r\n");
+    EXPECT_EQ(line.bytes(300'002).size(), 300'002U);
+    EXPECT_EQ(line.until("hello\r\n"), "VA 5 Olast\r\nhello\r\n");
+}
+
 }  // namespace
