Pipelined commands keep their age while the kernels still hold them

Of 1.5 MB of pipelined reads behind one that took 0.7 s, some 300 told their cache server 3.98 s, with 3.3 s left (allowed: 3.45).

Cause: arrival_time_of_input() took a chunk of under 64 KiB for the end of what had waited while reading was paused. The kernel of the sender may hold more, and that was dated by when it was received.

Change: input counts as arrived when reading paused until a chunk of under 64 KiB comes 0.05 s or more after reading resumed. For a peer that never lets the kernels run empty, the time moves on by windows of 8 MiB, the most that they are taken to hold.

--- a/src/io/tcp_connection.cpp
+++ b/src/io/tcp_connection.cpp
@@ -18,6 +18,10 @@
 namespace {
 
 constexpr std::size_t kReadChunkBytes = std::size_t{64} * 1024;
+// Once reading resumes after a pause, the peer's kernel delivers what it holds within this time.
+constexpr double kPeerFlushSeconds = 0.05;
+// Limits the bytes that the kernels on both sides hold for one connection.
+constexpr std::size_t kMaxKernelBufferBytes = std::size_t{8} * 1024 * 1024;
 // A buffer that becomes empty releases its memory if its capacity exceeds this.
 constexpr std::size_t kMaxKeptBufferBytes = 4096;
 
@@ -84,9 +88,11 @@
 void TcpConnection::watch_input() {
     if (state_ != State::connected) return;
     if (is_read_buffer_full()) {
-        if (input_source_ != nullptr && reading_paused_at_ == 0) reading_paused_at_ = monotonic_now();
+        if (input_source_ != nullptr && reading_paused_at_ == 0)
+            reading_paused_at_ = held_input_.started_at = monotonic_now();
         input_source_.reset();
     } else {
+        if (input_source_ == nullptr && reading_paused_at_ > 0) held_input_.resumed_at = monotonic_now();
         watch(input_source_, G_IO_IN, &on_socket<&TcpConnection::receive>);
     }
 }
@@ -174,7 +180,7 @@
         on_end();
         return false;
     }
-    received_at_ = arrival_time_of_input(static_cast<std::size_t>(count) < buffer.size());
+    received_at_ = arrival_time_of_input(static_cast<std::size_t>(count));
     input_.append(buffer.data(), static_cast<std::size_t>(count));
     update_budget();
     on_event_(Event::readable);
@@ -182,17 +188,30 @@
     return true;
 }
 
-// Returns when the chunk just received arrived. Input that may have waited while reading was paused is dated
-// from the start of the pause. The first input of an accepted connection may have waited in the backlog and
-// is dated by the kernel's time of the last data.
-double TcpConnection::arrival_time_of_input(bool all_received) {
+// Returns when the chunk of `bytes` just received arrived. Input that may have waited while reading was
+// paused is dated from the start of the pause. The first input of an accepted connection may have waited in
+// the backlog and is dated by the kernel's time of the last data.
+double TcpConnection::arrival_time_of_input(std::size_t bytes) {
     const double now = monotonic_now();
-    const double arrival = reading_paused_at_ > 0 ? reading_paused_at_
-                           : is_accepted_unread_  ? now - seconds_since_last_data(socket_.get())
-                                                  : now;
-    is_accepted_unread_ = false;
-    if (all_received) reading_paused_at_ = 0;
-    return arrival;
+    if (reading_paused_at_ > 0) {
+        const double arrival = reading_paused_at_;
+        update_held_input(bytes, now);
+        return arrival;
+    }
+    return std::exchange(is_accepted_unread_, false) ? now - seconds_since_last_data(socket_.get()) : now;
+}
+
+// Input may have waited in the kernel of this host or of the peer until both have been emptied. A peer that
+// never lets them become empty cannot have sent a byte before the buffers had space for it.
+void TcpConnection::update_held_input(std::size_t bytes, double now) {
+    held_input_.bytes += bytes;
+    if (bytes < kReadChunkBytes && now - held_input_.resumed_at >= kPeerFlushSeconds) {
+        reading_paused_at_ = 0;
+        held_input_ = {};
+    } else if (held_input_.bytes >= kMaxKernelBufferBytes) {
+        reading_paused_at_ = std::exchange(held_input_.started_at, now);
+        held_input_.bytes = 0;
+    }
 }
 
 bool TcpConnection::has_unread_input() const { return !input().empty() || has_unreceived_input(); }
--- a/src/io/tcp_connection.h
+++ b/src/io/tcp_connection.h
@@ -99,7 +99,8 @@
     void receive();
     bool receive_chunk();
     void on_end();
-    double arrival_time_of_input(bool all_received);
+    double arrival_time_of_input(std::size_t bytes);
+    void update_held_input(std::size_t bytes, double now);
 
     template <void (TcpConnection::*Method)()>
     static gboolean on_socket(GSocket*, GIOCondition, gpointer self) {
@@ -120,8 +121,16 @@
     bool is_shutting_down_write_ = false;
     bool ended_cleanly_ = false;
     double received_at_ = 0;
-    // When reading paused at the read limit; 0 once all input that arrived during the pause is received.
+    // When reading paused at the read limit; 0 once all input that was sent during the pause is received.
+    // Input received meanwhile counts as arrived at this time.
     double reading_paused_at_ = 0;
+    // What has been received since reading paused.
+    struct HeldInput {
+        double started_at = 0;  // when counting of `bytes` began
+        double resumed_at = 0;  // when reading last resumed
+        std::size_t bytes = 0;
+    };
+    HeldInput held_input_;
     EventHandler on_event_;
     bool is_accepted_unread_ = false;  // accepted, and nothing is received yet
     bool reads_until_empty_ = false;
--- a/src/protocol/http_chunks.h
+++ b/src/protocol/http_chunks.h
@@ -1,7 +1,7 @@
 // Decoder for HTTP/1.1 bodies with Transfer-Encoding: chunked. No I/O.
 //
-// The decoder takes the input in pieces of any size and appends the decoded bytes to a body, so that each byte
-// is handled once. Sizes are bytes. Source: RFC 9112, section 7.1.
+// The decoder takes the input in pieces of any size and appends the decoded bytes to a body, so that each
+// byte is handled once. Sizes are bytes. Source: RFC 9112, section 7.1.
 #pragma once
 
 #include <cstddef>
--- a/src/upstream/body_collector.h
+++ b/src/upstream/body_collector.h
@@ -1,7 +1,7 @@
 // Collects the body of an HTTP response that does not state its length. No I/O.
 //
-// The client's protocol states a value's length before the value, so such a body cannot be forwarded before it
-// is complete. Each byte is kept once, from when it is received until it is forwarded. Sizes are bytes.
+// The client's protocol states a value's length before the value, so such a body cannot be forwarded before
+// it is complete. Each byte is kept once, from when it is received until it is forwarded. Sizes are bytes.
 #pragma once
 
 #include <cstddef>
--- a/src/upstream/unsized_responses.cpp
+++ b/src/upstream/unsized_responses.cpp
@@ -82,8 +82,8 @@
     balance_collecting();
 }
 
-// Fails attempts while the byte budget is exceeded, first those that have received the least of a body without
-// a length. Returns whether the attempt on `current` goes on.
+// Fails attempts while the byte budget is exceeded, first those that have received the least of a body
+// without a length. Returns whether the attempt on `current` goes on.
 bool UpstreamPool::shed_collected(const Connection& current) {
     while (budget_.exceeded()) {
         Connection* smallest = nullptr;
@@ -137,7 +137,8 @@
         if (leader != nullptr && connection.collected_bytes <= leader->collected_bytes) continue;
         const bool was_just_read =
             !connection.is_paused && now - connection.last_used < kCollectingStallSeconds;
-        if (was_just_read || connection.socket->has_unreceived_input() || connection.socket->peer_has_closed())
+        if (was_just_read || connection.socket->has_unreceived_input() ||
+            connection.socket->peer_has_closed())
             leader = &connection;
     }
     return leader;
--- a/tests/upstream_pool_test.cpp
+++ b/tests/upstream_pool_test.cpp
@@ -106,6 +106,35 @@
     EXPECT_LE(deadline, left + kDeadlineSlackSeconds);
 }
 
+// Guards against a deadline that begins anew for pipelined commands: the bytes that the client's kernel held
+// while the node did not read counted as sent when they were received.
+TEST(SentDeadline, ExcludesTimeSpentInTheKernelOfTheClient) {
+    constexpr int kCommands = 1000, kFirstChecked = 100;
+    constexpr double kClientTimeout = 4, kHeldSeconds = 0.7;
+    const std::string padding(1500, 'x');
+    Fleet fleet(1);
+    fleet.caches.front().set_script([](const std::string& command) {
+        if (id_in(command) == "c0") std::this_thread::sleep_for(700 * kMillisecond);
+        return hit(command);
+    });
+    std::string commands;
+    for (int n = 0; n < kCommands; ++n)
+        commands += "mg 7f3a v Oc" + std::to_string(n) + " Pc=read,t=acme,x=" + padding + ",d=4000\r\n";
+    TestSocket line(own_loopback(), fleet.port());
+    line.send(commands);
+    for (int n = 0; n < kCommands; ++n) {
+        if (line.until("\r\n").starts_with("VA 5 ")) (void)line.until("hello\r\n");
+    }
+    int checked = 0;
+    for (const std::string& message : fleet.caches.front().received_messages()) {
+        if (std::stoi(id_in(message).substr(1)) < kFirstChecked) continue;
+        ++checked;
+        EXPECT_LE(sent_deadline(message), kClientTimeout - kHeldSeconds + kDeadlineSlackSeconds)
+            << id_in(message);
+    }
+    EXPECT_GT(checked, 0);
+}
+
 // ---- system calls that fail temporarily ------------------------------------------------------------------
 
 // All network calls fail in the first 0.6 s, possibly including the creation of the listening socket.
