ClientConnections and UpstreamPool are split by concern; no behaviour changes

Change: long_writes.cpp and responses.cpp beside the one, streamed_responses.cpp beside the other (unsized_responses.cpp was there); functions are moved, constants that two files need are members.

--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -6,11 +6,6 @@
 namespace brookrelay {
 namespace {
 
-// Read limit of a connection except while it receives a long value.
-constexpr std::size_t kReadLimitBytes = kMaxBufferedValueBytes + 2 * kMaxLineBytes;
-// Limits the bytes of a stream that are written to its connection but not yet taken by the kernel.
-constexpr std::size_t kStreamWindowBytes = std::size_t{64} * 1024;
-constexpr std::size_t kLineEndBytes = 2;
 // Half of the byte budget may be reserved for the long values that clients write.
 constexpr std::size_t kReservedShareDivisor = 2;
 // Limits the unanswered commands of one client.
@@ -23,15 +18,6 @@
 constexpr double kAcceptRetrySeconds = 0.05;
 // A new client is not evicted before it has had this time to send its first command.
 constexpr double kFirstCommandGraceSeconds = 0.5;
-// File descriptors are scarce, so clients that send nothing for this time before their first command or
-// inside any command are closed. The time runs from the last byte received, so a slow client that makes
-// progress is served.
-constexpr double kSilenceTimeoutSeconds = 2.5;
-// A client that has sent nothing for this time inside a long value keeps memory only for what it has sent, if
-// others wait for memory.
-constexpr double kReservationStallSeconds = 0.25;
-// A long write waits for memory for this fraction of its time, so that its client can still try elsewhere.
-constexpr double kMaxMemoryWaitFraction = 0.5;
 // A connection that is idle for this time between two commands is closed.
 constexpr double kIdleTimeoutSeconds = 30.0;
 // Clients that send one command and stay connected could occupy all connections. When the idle connections
@@ -42,8 +28,6 @@
 // A client that reads none of its pending responses for this time is closed.
 constexpr double kUnreadResponseTimeoutSeconds = 10.0;
 constexpr double kTimeoutCheckIntervalSeconds = 0.05;
-constexpr const char* kFailedLine = "SERVER_ERROR failed\r\n";
-constexpr const char* kOutOfMemoryLine = "SERVER_ERROR out of memory";
 // Closing a socket with unread input resets the connection and loses responses that are not yet delivered.
 // Therefore the write side is shut down first, and further input is read and discarded for this time.
 constexpr double kLingerSeconds = 1.0;
@@ -206,111 +190,6 @@
     write_responses(client);
 }
 
-// Reserves memory for the whole long value at the start of the input, once the client has sent more of it
-// than the ordinary read limit holds. Other clients with long values wait, so that no client has to be closed
-// in the middle of its value. Returns false if this client has to wait.
-bool ClientConnections::reserve_long_value(Client& client) {
-    if (!client.connection->is_read_buffer_full()) return true;
-    const std::size_t length = streamed_write_length(client.connection->input());
-    if (length == 0) return true;
-    if (!long_write_memory_.try_reserve(client.reserved_bytes, length)) return false;
-    client.reserved_bytes = length;
-    MemoryWait& wait = client.memory_wait;
-    if (wait.waiting_since > 0) {
-        const double now = monotonic_now();
-        wait.waited += now - std::exchange(wait.waiting_since, 0);
-        // Input that waited in the kernel does not make the client silent.
-        if (client.connection->has_unreceived_input()) client.last_used = client.last_received = now;
-    }
-    client.connection->set_read_limit(length + 2 * kMaxLineBytes);
-    return true;
-}
-
-void ClientConnections::release_reservation(Client& client) {
-    long_write_memory_.release(std::exchange(client.reserved_bytes, 0));
-}
-
-// A client that stops inside a long value must not keep other long values waiting until it times out. If it
-// continues, it reserves memory for the rest again.
-void ClientConnections::revoke_stalled_reservations(double now) {
-    const bool is_any_waiting = std::any_of(clients_.begin(), clients_.end(), [](const auto& entry) {
-        return !entry.second.connection->is_closed() &&
-               entry.second.pause_reason == PauseReason::value_memory_limit;
-    });
-    if (!is_any_waiting) return;
-    for (auto& [id, client] : clients_) {
-        const std::size_t received = client.connection->input().size();
-        if (client.connection->is_closed() || client.reserved_bytes <= received) continue;
-        if (now - client.last_received < kReservationStallSeconds) continue;
-        if (client.connection->has_unreceived_input()) continue;
-        long_write_memory_.release(client.reserved_bytes - received);
-        client.reserved_bytes = received;
-        client.connection->set_read_limit(received + 1);
-    }
-}
-
-// Begins or continues the wait of the long write at the start of the input. Returns whether it has waited for
-// as long as it may, by the time that its first line states.
-bool ClientConnections::is_waiting_too_long(Client& client) {
-    MemoryWait& wait = client.memory_wait;
-    if (wait.waiting_since == 0) {
-        wait.waiting_since = std::min(monotonic_now(), client.connection->received_at());
-        if (wait.began_at == 0) wait.began_at = wait.waiting_since;
-    }
-    const WriteHeader header = parse_write_header(client.connection->input());
-    const double max_wait =
-        header.time_remaining > 0 ? kMaxMemoryWaitFraction * header.time_remaining : kSilenceTimeoutSeconds;
-    const double waited = wait.waited + monotonic_now() - wait.waiting_since;
-    return waited >= std::min(max_wait, kSilenceTimeoutSeconds);
-}
-
-// Answers the long write at the start of the input as rejected and discards its value, of which nothing has
-// been passed on. The connection remains usable.
-void ClientConnections::refuse_long_write(Client& client) {
-    log_.line(Topic::client, "long_write_refused",
-              "long write rejected: no memory was available for its value in time");
-    const WriteHeader header = parse_write_header(client.connection->input());
-    (void)consume(client, header.header_bytes);
-    client.skipped_value.emplace(header.length);
-    client.memory_wait = {};
-    release_reservation(client);
-    client.connection->set_read_limit(kReadLimitBytes);
-    refuse_command(client);
-}
-
-// A write's value is kept until the write is answered. Returns whether there is memory for it. For a long
-// value it is reserved already.
-bool ClientConnections::has_memory_for(const Client& client, const Command& command) const {
-    return command.value.empty() || client.reserved_bytes > 0 ||
-           budget_.used + command.value.size() <= budget_.limit;
-}
-
-// Answers the command that was just removed from the input as rejected.
-void ClientConnections::refuse_command(Client& client) {
-    finish_response(client.pending.emplace_back(), format_busy(0));
-    ++unanswered_commands_;
-    write_responses(client);
-}
-
-// Discards the received part of a refused command's value. Returns whether the value has ended.
-bool ClientConnections::skip_value(std::uint64_t id, Client& client) {
-    const ValueSkipper::Progress progress = client.skipped_value->skip(client.connection->input());
-    (void)consume(client, progress.bytes);
-    if (progress.status == ValueSkipper::Status::incomplete) return false;
-    client.skipped_value.reset();
-    if (progress.status == ValueSkipper::Status::complete) return true;
-    reject_connection(id, client, "CLIENT_ERROR bad data chunk");
-    return false;
-}
-
-// Returns when the command just consumed arrived at the earliest. While it waited for memory, its sender
-// could not send the rest, so its last byte may have been sent earlier by the time of that wait.
-double ClientConnections::take_arrival_time(Client& client, double received_at) {
-    const MemoryWait wait = std::exchange(client.memory_wait, {});
-    if (wait.waited == 0) return received_at;
-    return std::min(received_at, std::max(wait.began_at, received_at - wait.waited));
-}
-
 // A command and its response can each hold a value of the maximum size, so the number of commands pipelined
 // by all clients is limited. The limit does not apply to the first unanswered command of a client.
 bool ClientConnections::is_total_command_limit_reached() const {
@@ -459,181 +338,6 @@
     }
 }
 
-void ClientConnections::respond(const RequestHandle& handle, std::string text) {
-    const auto entry = clients_.find(handle.connection);
-    if (entry == clients_.end() || entry->second.connection->is_closed()) return;
-    Client& client = entry->second;
-    const std::uint64_t index = handle.command - client.first_command;
-    if (index >= client.pending.size() || client.pending[index].is_ready || client.pending[index].stream != 0)
-        return;
-    // Responses to clients that read slowly must not exceed the byte budget.
-    const bool out_of_memory = budget_.exceeded() && text.size() > kMaxLineBytes;
-    if (out_of_memory)
-        log_.line(Topic::client, "answer_dropped", "response dropped: the byte budget is exceeded");
-    finish_response(client.pending[index],
-                    out_of_memory ? std::string(kOutOfMemoryLine) + "\r\n" : std::move(text));
-    write_responses(client);
-    read_commands(handle.connection, client);  // reading may have been paused until this response
-    close_if_done(handle.connection, client);
-}
-
-ClientConnections::Client* ClientConnections::find(const RequestHandle& handle) {
-    const auto entry = clients_.find(handle.connection);
-    if (entry == clients_.end() || entry->second.connection->is_closed()) return nullptr;
-    return handle.command - entry->second.first_command < entry->second.pending.size() ? &entry->second
-                                                                                       : nullptr;
-}
-
-ClientConnections::PendingResponse& ClientConnections::response_to(Client& client,
-                                                                   const RequestHandle& handle) {
-    return client.pending[handle.command - client.first_command];
-}
-
-void ClientConnections::begin_stream(const RequestHandle& handle, std::string header, std::uint64_t stream,
-                                     const StreamTerms& terms) {
-    Client* client = find(handle);
-    if (client == nullptr) return stream_callbacks_.on_abandoned(stream);
-    PendingResponse& response = response_to(*client, handle);
-    budget_.used += header.size();
-    response.text = std::move(header);
-    response.stream = stream;
-    const bool is_last = handle.command + 1 == client->first_command + client->pending.size();
-    const bool is_nothing_behind = is_last && client->connection->input().empty();
-    if (terms.is_received || is_nothing_behind) return write_responses(*client);
-    response.is_buffered = true;
-    response.awaited_memory = terms.length;
-    timers_.schedule(terms.give_up_at, [this, handle] { fail_buffered_response(handle); });
-    if (reserve_buffer(response)) stream_callbacks_.on_writable(stream);
-}
-
-// Reserves memory for the body that a buffered response waits for. Returns false if it has to wait.
-bool ClientConnections::reserve_buffer(PendingResponse& response) {
-    if (budget_.used + response.awaited_memory > budget_.limit) return false;
-    response.unfilled_bytes = std::exchange(response.awaited_memory, 0);
-    budget_.used += response.unfilled_bytes;
-    response.text.reserve(response.text.size() + response.unfilled_bytes + kLineEndBytes);
-    return true;
-}
-
-// Gives back all memory that is counted or reserved for a response and for its command.
-void ClientConnections::release_memory(PendingResponse& response) {
-    budget_.used -= response.text.size();
-    budget_.used -= std::exchange(response.unfilled_bytes, 0);
-    budget_.used -= std::exchange(response.value_bytes, 0);
-    response.text = {};
-    long_write_memory_.release(std::exchange(response.reserved_bytes, 0));
-}
-
-void ClientConnections::resume_buffered_streams() {
-    std::vector<std::uint64_t> resumed;
-    for (auto& [id, client] : clients_) {
-        for (PendingResponse& response : client.pending) {
-            if (response.awaited_memory > 0 && reserve_buffer(response)) resumed.push_back(response.stream);
-        }
-    }
-    for (const std::uint64_t stream : resumed) stream_callbacks_.on_writable(stream);
-}
-
-// Fails a buffered response that is not complete in time. None of it is written yet, so an error line can
-// replace it before the client times out.
-void ClientConnections::fail_buffered_response(const RequestHandle& handle) {
-    Client* client = find(handle);
-    if (client == nullptr || !response_to(*client, handle).is_buffered) return;
-    PendingResponse& response = response_to(*client, handle);
-    log_.line(Topic::client, "value_given_up",
-              "long value abandoned: it was not complete in time while further commands of its client were "
-              "pending");
-    response.is_buffered = false;
-    response.awaited_memory = 0;
-    release_memory(response);
-    stream_callbacks_.on_abandoned(std::exchange(response.stream, 0));
-    finish_response(response, kFailedLine);
-    write_responses(*client);
-    read_commands(handle.connection, *client);
-    close_if_done(handle.connection, *client);
-}
-
-// Responses are written in command order: a stream that is not first gets no capacity unless it is buffered,
-// and its data remains on the server's connection.
-std::size_t ClientConnections::stream_capacity(const RequestHandle& handle) const {
-    const auto entry = clients_.find(handle.connection);
-    if (entry == clients_.end() || entry->second.connection->is_closed()) return 0;
-    const std::uint64_t index = handle.command - entry->second.first_command;
-    if (index < entry->second.pending.size() && entry->second.pending[index].is_buffered)
-        return entry->second.pending[index].awaited_memory > 0 ? 0 : kStreamWindowBytes;
-    if (index != 0) return 0;
-    const std::size_t unwritten = entry->second.connection->unwritten_bytes();
-    return unwritten < kStreamWindowBytes ? kStreamWindowBytes - unwritten : 0;
-}
-
-void ClientConnections::write_chunk(const RequestHandle& handle, std::string_view bytes) {
-    Client* client = find(handle);
-    if (client == nullptr) return;
-    client->last_used = monotonic_now();
-    PendingResponse& response = response_to(*client, handle);
-    if (!response.is_buffered) return client->connection->write(bytes);
-    response.text += bytes;
-    response.unfilled_bytes -= bytes.size();
-}
-
-void ClientConnections::end_stream(const RequestHandle& handle, bool complete, std::string_view line) {
-    Client* client = find(handle);
-    if (client == nullptr) return;
-    PendingResponse& response = response_to(*client, handle);
-    response.stream = 0;
-    response.is_buffered = false;
-    response.awaited_memory = 0;
-    budget_.used -= response.text.size() + std::exchange(response.unfilled_bytes, 0);
-    std::string text = std::exchange(response.text, {});
-    if (!complete && response.is_partly_written) {
-        log_.line(Topic::client, "value_broken_off",
-                  "client connection closed: the rest of a partly sent value is not available");
-        // Earlier responses are still sent. The client detects the truncated value by the early end of the
-        // connection.
-        response.is_ready = true;
-        stop_reading(*client, CloseReason::broken_value);
-        report_lost_commands(handle.connection, *client, CloseReason::broken_value,
-                             client->pending.size() - 1);
-        abandon_pending(handle.connection, *client);
-        return close_if_done(handle.connection, *client);
-    }
-    finish_response(response, complete ? std::move(text.append("\r\n")) : std::string(line));
-    write_responses(*client);
-    read_commands(handle.connection, *client);
-    close_if_done(handle.connection, *client);
-}
-
-void ClientConnections::write_responses(Client& client) {
-    std::string text;
-    while (!client.pending.empty() &&
-           (client.pending.front().is_ready ||
-            (!client.pending.front().text.empty() && !client.pending.front().is_buffered))) {
-        std::string& response_text = client.pending.front().text;
-        budget_.used -= response_text.size();
-        if (text.empty()) {
-            text = std::move(response_text);
-        } else {
-            text += response_text;
-        }
-        if (!client.pending.front().is_ready) {  // streamed response, whose chunks follow
-            response_text.clear();
-            client.pending.front().is_partly_written = true;
-            break;
-        }
-        response_text.clear();
-        release_memory(client.pending.front());
-        client.pending.pop_front();
-        ++client.first_command;
-        --unanswered_commands_;
-    }
-    if (text.empty()) return;
-    schedule_resume();
-    client.last_used = monotonic_now();
-    client.connection->write(text);
-    if (!client.pending.empty() && client.pending.front().stream != 0)
-        stream_callbacks_.on_writable(client.pending.front().stream);
-}
-
 void ClientConnections::close_if_done(std::uint64_t id, Client& client) {
     const bool is_done =
         client.is_reading_stopped ? client.pending.empty() : is_shutting_down_ && is_between_commands(client);
--- a/src/downstream/client_connections.h
+++ b/src/downstream/client_connections.h
@@ -115,6 +115,14 @@
     void destroy_closed();
 
   private:
+    // Read limit of a connection except while it receives a long value.
+    static constexpr std::size_t kReadLimitBytes = kMaxBufferedValueBytes + 2 * kMaxLineBytes;
+    // File descriptors are scarce, so clients that send nothing for this time before their first command or
+    // inside any command are closed. The time runs from the last byte received, so a slow client that makes
+    // progress is served.
+    static constexpr double kSilenceTimeoutSeconds = 2.5;
+    static constexpr const char* kOutOfMemoryLine = "SERVER_ERROR out of memory";
+
     struct PendingResponse {
         bool is_ready = false;  // `text` is complete, or holds the end of a streamed response
         int request = kNoRequest;
