Unit tests of the value skipper and of reservations; short bodies reserve no large buffer

Cause: BodyCollector reserved 4 MiB of address space for each body without a length, however short; ValueSkipper and LongWriteMemory were tested through sockets only.

--- a/src/downstream/long_writes.cpp
+++ b/src/downstream/long_writes.cpp
@@ -1,10 +1,10 @@
 // The part of ClientConnections that bounds the memory of values that clients write: reservations for long
 // values, how long a command waits for one, and the rejection of commands for which there is no memory.
-#include "downstream/client_connections.h"
-
 #include <algorithm>
 #include <utility>
 
+#include "downstream/client_connections.h"
+
 namespace brookrelay {
 namespace {
 
--- a/src/downstream/responses.cpp
+++ b/src/downstream/responses.cpp
@@ -1,10 +1,10 @@
 // The part of ClientConnections that writes responses in command order: complete ones, streamed ones, and
 // streamed ones that are buffered until they are complete.
-#include "downstream/client_connections.h"
-
 #include <algorithm>
 #include <utility>
 
+#include "downstream/client_connections.h"
+
 namespace brookrelay {
 namespace {
 
--- a/src/upstream/body_collector.cpp
+++ b/src/upstream/body_collector.cpp
@@ -8,9 +8,10 @@
     : max_bytes_(max_bytes), is_chunked_(head.is_chunked), reusable_(head.reusable), decoder_(max_bytes) {}
 
 BodyCollector::Progress BodyCollector::add(std::string_view input, bool ended) {
-    // Growth by doubling would copy the body and hold two copies meanwhile. Memory that is reserved and not
-    // written to occupies no pages.
-    if (body_.size() + input.size() > body_.capacity()) body_.reserve(max_bytes_);
+    // Growth by doubling would copy a long body and hold two copies meanwhile. Memory that is reserved and
+    // not written to occupies no pages.
+    const std::size_t needed = body_.size() + input.size();
+    if (needed > body_.capacity() && needed > kMaxBufferedValueBytes) body_.reserve(max_bytes_);
     if (!is_chunked_) return add_until_close(input, ended);
     const ChunkDecoder::Progress progress = decoder_.decode(input, body_);
     switch (progress.status) {
--- a/tests/client_connections_test.cpp
+++ b/tests/client_connections_test.cpp
@@ -2,8 +2,11 @@
 // incomplete commands, and streamed responses that break off before other responses.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 
+#include "downstream/long_write_memory.h"
+#include "downstream/value_skipper.h"
 #include "fleet.h"
 
 namespace {
@@ -127,6 +130,39 @@
     return -1;
 }
 
+TEST(ValueSkipper, FindsTheEndInPiecesOfAnySize) {
+    using brookrelay::ValueSkipper;
+    for (const std::string& line_end : {std::string("\r\n"), std::string("\n")}) {
+        const std::string input = "value" + line_end + "mn\r\n";
+        for (std::size_t piece = 1; piece <= input.size(); ++piece) {
+            SCOPED_TRACE(piece);
+            ValueSkipper skipper(5);
+            std::size_t received = 0, removed = 0;
+            ValueSkipper::Progress progress{0, ValueSkipper::Status::incomplete};
+            while (progress.status == ValueSkipper::Status::incomplete && received < input.size()) {
+                received = std::min(received + piece, input.size());
+                progress = skipper.skip(std::string_view(input).substr(removed, received - removed));
+                removed += progress.bytes;
+            }
+            EXPECT_EQ(progress.status, ValueSkipper::Status::complete);
+            EXPECT_EQ(input.substr(removed), "mn\r\n");
+        }
+    }
+    EXPECT_EQ(ValueSkipper(5).skip("values\r\n").status, ValueSkipper::Status::malformed);
+    EXPECT_EQ(ValueSkipper(5).skip("value\rx").status, ValueSkipper::Status::malformed);
+}
+
+TEST(LongWriteMemory, GrantsWithinItsLimitAndAlwaysTheOnlyOne) {
+    brookrelay::LongWriteMemory memory(100);
+    EXPECT_TRUE(memory.try_reserve(0, 150));  // the only one
+    EXPECT_FALSE(memory.try_reserve(0, 1));
+    memory.release(90);
+    EXPECT_TRUE(memory.try_reserve(0, 40));
+    EXPECT_FALSE(memory.try_reserve(40, 41));
+    memory.release(60);
+    EXPECT_TRUE(memory.try_reserve(40, 100));
+}
+
 class StalledLongWrite : public testing::TestWithParam<std::size_t> {};
 
 // Guards against clients that stop inside a long write and keep the long writes of all others waiting: these
