Each client's commands have a bounded part of a turn of the event loop

Cause: a read returns up to 64 KiB of a connection, and read_commands() handled all of it at once, each answer with a system call of its own: 32,768 empty lines a connection and turn.

Change: at most 16 commands of a client are handled in a row, and commands of all clients for 2 ms a turn; the rest wait in one queue, the longest waiting first (TurnBudget, paused_reading.cpp, split from client_connections.cpp). The answers of one client's turn are written at once. An iteration is now timed from the poll of the sockets, so that a log line tells of such a turn and of the commands read in it; brookrelay_client_turns_waited counts the waits.

--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -8,11 +8,6 @@
 
 // Half of the byte budget may be reserved for the long values that clients write.
 constexpr std::size_t kReservedShareDivisor = 2;
-// Limits the unanswered commands of one client.
-constexpr std::size_t kMaxPipelinedCommands = 32;
-// Clients may pipeline while the unanswered commands of all clients are fewer than this fraction of the
-// connection limit.
-constexpr double kPipelinedCommandsFraction = 0.25;
 constexpr int kMaxAcceptsPerIteration = 64;
 // Pause of the listener after a failed accept or while no connection is available.
 constexpr double kAcceptRetrySeconds = 0.05;
@@ -117,7 +112,7 @@
         if (!client.is_closing) client.last_used = client.last_received;
     }
     if (event == TcpConnection::Event::drained && client.is_closing) start_lingering_close(id, client);
-    read_commands(id, client);
+    if (client.pause_reason != PauseReason::turn_used) read_commands(id, client);
     if (event == TcpConnection::Event::drained && !client.pending.empty() &&
         client.pending.front().stream != 0)
         stream_callbacks_.on_writable(client.pending.front().stream);
@@ -135,38 +130,54 @@
     (void)consume(client, client.connection->input().size());
 }
 
+// Handles the commands in the input, but only as many as the client may have handled in this turn.
 void ClientConnections::read_commands(std::uint64_t id, Client& client) {
     client.pause_reason = PauseReason::none;
-    while (!client.is_reading_stopped) {
-        if (client.skipped_value && !skip_value(id, client)) return;
-        if (client.connection->input().empty()) return;
+    for (int handled = 0; !client.is_reading_stopped; ++handled) {
+        if (client.skipped_value && !skip_value(id, client)) break;
+        if (client.connection->input().empty()) break;
         const PauseReason reason = find_pause_reason(client);
-        if (reason != PauseReason::none) return record_pause_reason(id, client, reason);
-        Command command;
-        const std::size_t parsed_bytes = parse_command(client.connection->input(), command);
-        if (parsed_bytes == 0) {
-            if (reserve_long_value(client)) return;
-            if (!is_waiting_too_long(client)) {
-                client.pause_reason = PauseReason::value_memory_limit;
-                return;
-            }
-            refuse_long_write(client);
-            continue;
+        if (reason != PauseReason::none) {
+            record_pause_reason(id, client, reason);
+            break;
         }
-        const double received_at = take_arrival_time(client, consume(client, parsed_bytes));
-        if (has_memory_for(client, command)) {
-            handle_command(id, client, std::move(command), received_at);
-        } else {
-            log_.line(Topic::client, "write_refused", "write rejected: the byte budget is used up");
-            refuse_command(client);
+        if (handled == TurnBudget::kMaxCommandsPerClient || !turn_.has_time(monotonic_now())) {
+            wait_for_turn(id, client);
+            break;
         }
+        if (!read_command(id, client)) break;
     }
-    discard_input(client);
+    if (client.is_reading_stopped) discard_input(client);
+    write_responses(client);
+}
+
+// Handles the command at the start of the input. Returns false if it is not complete.
+bool ClientConnections::read_command(std::uint64_t id, Client& client) {
+    Command command;
+    const std::size_t parsed_bytes = parse_command(client.connection->input(), command);
+    if (parsed_bytes == 0) {
+        if (reserve_long_value(client)) return false;
+        if (is_waiting_too_long(client)) {
+            refuse_long_write(client);
+            return true;
+        }
+        client.pause_reason = PauseReason::value_memory_limit;
+        return false;
+    }
+    const double received_at = take_arrival_time(client, consume(client, parsed_bytes));
+    if (has_memory_for(client, command)) {
+        handle_command(id, client, std::move(command), received_at);
+    } else {
+        log_.line(Topic::client, "write_refused", "write rejected: the byte budget is used up");
+        refuse_command(client);
+    }
+    return true;
 }
 
 void ClientConnections::handle_command(std::uint64_t id, Client& client, Command&& command,
                                        double received_at) {
     last_command_at_ = monotonic_now();
+    ++commands_read_;
     PendingResponse& response = client.pending.emplace_back();
     if (client.reserved_bytes > 0) client.connection->set_read_limit(kReadLimitBytes);
     response.reserved_bytes = std::exchange(client.reserved_bytes, 0);
@@ -187,65 +198,6 @@
         finish_response(response, error.empty() ? "ERROR\r\n" : "CLIENT_ERROR " + error + "\r\n");
         if (command.framing_lost) stop_reading(client, CloseReason::rejected);
     }
-    write_responses(client);
-}
-
-// A command and its response can each hold a value of the maximum size, so the number of commands pipelined
-// by all clients is limited. The limit does not apply to the first unanswered command of a client.
-bool ClientConnections::is_total_command_limit_reached() const {
-    return static_cast<double>(unanswered_commands_) >=
-           kPipelinedCommandsFraction * static_cast<double>(connection_limit_);
-}
-
-ClientConnections::PauseReason ClientConnections::find_pause_reason(const Client& client) const {
-    // Commands are not read from a client that does not read its responses.
-    if (client.connection->unwritten_bytes() > 0) return PauseReason::unread_responses;
-    if (client.pending.size() >= kMaxPipelinedCommands) return PauseReason::client_command_limit;
-    // A streamed response that breaks off closes the connection, and commands read after it would be lost.
-    const bool has_stream = std::any_of(client.pending.begin(), client.pending.end(),
-                                        [](const PendingResponse& response) { return response.stream != 0; });
-    if (has_stream) return PauseReason::client_command_limit;
-    return !client.pending.empty() && is_total_command_limit_reached() ? PauseReason::total_command_limit
-                                                                       : PauseReason::none;
-}
-
-// Marks the client as paused only if its next command is complete or only waits for memory. A client that has
-// stopped inside a command counts as silent even if another reason to pause applies.
-void ClientConnections::record_pause_reason(std::uint64_t id, Client& client, PauseReason reason) {
-    const std::string_view input = client.connection->input();
-    Command command;
-    const bool is_command_available =
-        (client.connection->is_read_buffer_full() && streamed_write_length(input) > 0) ||
-        parse_command(input, command) > 0;
-    if (!is_command_available) return;
-    client.pause_reason = reason;
-    if (reason != PauseReason::total_command_limit) return;
-    if (std::find(paused_clients_.begin(), paused_clients_.end(), id) == paused_clients_.end())
-        paused_clients_.push_back(id);
-}
-
-// Called wherever commands are answered. Reading starts new requests, so it is deferred to the next iteration
-// of the main loop.
-void ClientConnections::schedule_resume() {
-    if (paused_clients_.empty() || resume_timer_.second != 0) return;
-    resume_timer_ = timers_.schedule(monotonic_now(), [this] {
-        resume_timer_ = {};
-        resume_paused_clients();
-    });
-}
-
-void ClientConnections::resume_paused_clients() {
-    for (std::size_t left = paused_clients_.size(); left > 0 && !is_total_command_limit_reached(); --left) {
-        const std::uint64_t id = paused_clients_.front();
-        paused_clients_.pop_front();
-        const auto entry = clients_.find(id);
-        if (entry == clients_.end() || entry->second.connection->is_closed()) continue;
-        Client& client = entry->second;
-        if (client.pause_reason != PauseReason::total_command_limit) continue;  // reading has already resumed
-        client.last_used = client.last_received = monotonic_now();
-        read_commands(id, client);
-        close_if_done(id, client);
-    }
 }
 
 void ClientConnections::finish_response(PendingResponse& response, std::string text) {
--- a/src/downstream/client_connections.h
+++ b/src/downstream/client_connections.h
@@ -25,6 +25,7 @@
 
 #include "downstream/arrival_times.h"
 #include "downstream/long_write_memory.h"
+#include "downstream/turn_budget.h"
 #include "downstream/value_skipper.h"
 #include "guard/close_guard.h"
 #include "guard/violations.h"
@@ -107,6 +108,12 @@
         return closed_counts_[static_cast<std::size_t>(reason)];
     }
     int open_count() const { return static_cast<int>(open_count_); }
+    /// Begins a turn of the event loop. The time for clients' commands is bounded in each turn.
+    void begin_turn() { turn_.begin_turn(); }
+    /// Returns the total number of commands read since the start, malformed ones included.
+    std::uint64_t commands_read() const { return commands_read_; }
+    /// Returns how often a client's commands were left for a later turn.
+    std::uint64_t turns_waited() const { return turns_waited_; }
     /// Limits this object to a share (0 to 1) of its connections and bytes. A sibling process uses the rest.
     void set_budget_share(double share);
     /// Returns whether no command has arrived since `time` and none is unanswered or unread.
@@ -143,6 +150,7 @@
         client_command_limit,  // the client's pipeline is full or has a stream; resumed by a response
         // all clients together have too many unanswered commands; resumed by resume_paused_clients()
         total_command_limit,
+        turn_used,  // others come first; resumed by give_turns()
         // no memory is left for its long value; resumed by check_clients(), which refuses the command in time
         value_memory_limit,
     };
@@ -169,6 +177,7 @@
         MemoryWait memory_wait;
         std::optional<ValueSkipper> skipped_value;  // of a refused command, while it is being received
         PauseReason pause_reason = PauseReason::none;
+        bool is_queued_for_turn = false;  // in clients_waiting_for_turn_
     };
 
     PauseReason find_pause_reason(const Client& client) const;
@@ -176,11 +185,15 @@
     void record_pause_reason(std::uint64_t id, Client& client, PauseReason reason);
     void schedule_resume();
     void resume_paused_clients();
+    void wait_for_turn(std::uint64_t id, Client& client);
+    void schedule_turns();
+    void give_turns();
     static bool is_between_commands(const Client& client);
     void accept_connections();
     bool evict_idle();
     void on_event(std::uint64_t id, Client& client, TcpConnection::Event event);
     void read_commands(std::uint64_t id, Client& client);
+    bool read_command(std::uint64_t id, Client& client);
     void handle_command(std::uint64_t id, Client& client, Command&& command, double received_at);
     double consume(Client& client, std::size_t bytes);
     void discard_input(Client& client);
@@ -236,6 +249,11 @@
     // Connections paused for total_command_limit, the longest waiting first.
     std::deque<std::uint64_t> paused_clients_;
     TimerQueue::Handle resume_timer_;
+    TurnBudget turn_;
+    std::deque<std::uint64_t> clients_waiting_for_turn_;  // the longest waiting first
+    TimerQueue::Handle turn_timer_;
+    std::uint64_t turns_waited_ = 0;
+    std::uint64_t commands_read_ = 0;
     std::uint64_t last_id_ = 0;
     double last_command_at_ = 0;
     bool is_shutting_down_ = false;
--- a/src/downstream/long_writes.cpp
+++ b/src/downstream/long_writes.cpp
@@ -99,7 +99,6 @@
 void ClientConnections::refuse_command(Client& client) {
     finish_response(client.pending.emplace_back(), format_busy(0));
     ++unanswered_commands_;
-    write_responses(client);
 }
 
 // Discards the received part of a refused command's value. Returns whether the value has ended.
--- a/src/proxy/iteration_monitor.cpp
+++ b/src/proxy/iteration_monitor.cpp
@@ -25,12 +25,12 @@
     std::array<char, 320> text{};
     std::snprintf(text.data(), text.size(),
                   "an iteration took %.3f s: %" PRIu64 " events, %" PRIu64 " actions, %" PRIu64
-                  " list entries, %" PRIu64 " servers, %" PRIu64 " ring points, %" PRIu64
-                  " connections and %" PRIu64 " bytes of files processed",
+                  " commands, %" PRIu64 " list entries, %" PRIu64 " servers, %" PRIu64
+                  " ring points, %" PRIu64 " connections and %" PRIu64 " bytes of files processed",
                   duration, work.events - work_before_.events, work.actions - work_before_.actions,
-                  work.list_entries - work_before_.list_entries, work.servers - work_before_.servers,
-                  work.ring_points - work_before_.ring_points, work.connections - work_before_.connections,
-                  work.file_bytes - work_before_.file_bytes);
+                  work.commands - work_before_.commands, work.list_entries - work_before_.list_entries,
+                  work.servers - work_before_.servers, work.ring_points - work_before_.ring_points,
+                  work.connections - work_before_.connections, work.file_bytes - work_before_.file_bytes);
     return text.data();
 }
 
--- a/src/proxy/iteration_monitor.h
+++ b/src/proxy/iteration_monitor.h
@@ -1,5 +1,5 @@
-/// Measures the duration of event-loop iterations and the work that a long one was spent on. No socket is
-/// read during an iteration, so its duration bounds the age of the information with which an attempt is sent.
+/// Measures the duration of event-loop iterations, from the poll of the sockets on, and the work that a long
+/// one was spent on. Its duration bounds the age of the information with which an attempt is sent.
 ///
 /// No I/O and no clock: times are arguments, in seconds on the monotonic clock.
 #pragma once
@@ -15,6 +15,7 @@
 struct IterationWork {
     std::uint64_t events = 0;        ///< events handled
     std::uint64_t actions = 0;       ///< actions executed
+    std::uint64_t commands = 0;      ///< commands of clients that were read
     std::uint64_t list_entries = 0;  ///< entries of endpoint updates that were applied
     std::uint64_t servers = 0;       ///< entries of server tables that were examined
     std::uint64_t ring_points = 0;   ///< points of hash rings that were compared, moved or searched
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -264,11 +264,15 @@
 void Node::run_iteration() {
     (void)arrival_time();
     iteration_started_at_ = monotonic_now();
-    iteration_monitor_.begin(iteration_started_at_, total_work());
+    // The sockets were read between the poll and now.
+    iteration_monitor_.begin(std::max(poll_clock_.last_poll(), iteration_ended_at_), work_before_iteration_);
     handle_events();
     run_actions();
-    const std::string warning = iteration_monitor_.end(monotonic_now(), total_work());
+    iteration_ended_at_ = monotonic_now();
+    work_before_iteration_ = total_work();
+    const std::string warning = iteration_monitor_.end(iteration_ended_at_, work_before_iteration_);
     if (!warning.empty()) log_.line(Topic::node, "slow_iteration", warning);
+    clients_.begin_turn();
 }
 
 void Node::handle_events() {
@@ -322,6 +326,7 @@
     IterationWork work = work_;
     work.servers += balancer_->work().servers;
     work.ring_points = balancer_->work().ring_points;
+    work.commands = clients_.commands_read();
     work.connections = pool_.searched_connections();
     work.file_bytes = admin_state_.listed_bytes_read();
     return work;
@@ -842,6 +847,7 @@
                           {"brookrelay_server_connections", pool_.open_count()},
                           {"brookrelay_known_servers", static_cast<double>(servers_.size())},
                           {"brookrelay_budget_share", budget_share_},
+                          {"brookrelay_client_turns_waited", static_cast<double>(clients_.turns_waited())},
                           {"brookrelay_accepts_clients", accepts_clients_ ? 1.0 : 0.0}},
                          clients_, violations_, iteration_monitor_);
 }
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -140,6 +140,7 @@
     ViolationCounter violations_;
     Metrics metrics_;
     IterationMonitor iteration_monitor_;
+    IterationWork work_before_iteration_;
     IterationWork work_;  // counts of the node itself; total_work() adds those of its components
     RequestTrace trace_;
     std::unique_ptr<Balancer> balancer_;
@@ -163,6 +164,7 @@
     std::unique_ptr<SiblingProcesses> sibling_processes_;  // null if the listener is not shared
     // Monotonic times in seconds.
     double iteration_started_at_ = 0;
+    double iteration_ended_at_ = 0;
     double endpoints_confirmed_at_ = 0;  // when the endpoint source last confirmed that its list is current
     double paused_since_ = 0;            // when the last pause of the process began
     double catch_up_until_ = 0;          // commands read before this time count as received at paused_since_
