Input behind open commands is received, so that the client's close is noticed

Cause: the kernel reports a close only once it has received all input before it. While commands were open the node received no more than its read limit, so behind a few hundred KB the close stayed with the client's kernel (ss: FIN-WAIT-1 with 1.5 MB unsent, our receive queue full), and each retry's look for a close found none.

Evidence: in a failing run of IsDetectedBehindUnreadCommands the 16 requests that came after the close were retries of the first 16, 0.35 s after them, when the silent server was ejected.

Change: behind open commands up to 1 MiB is received, while the clients' buffers are half empty. Left: more than that and the kernel's buffers hides a close until an answer is written to the client, which resets its connection.

--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -111,7 +111,11 @@
         if (!client.is_closing) client.last_used = client.last_received;
     }
     if (event == TcpConnection::Event::drained && client.is_closing) start_lingering_close(id, client);
-    if (client.pause_reason != PauseReason::turn_used) read_commands(id, client);
+    if (client.pause_reason == PauseReason::turn_used) {
+        update_read_ahead(client);
+    } else {
+        read_commands(id, client);
+    }
     if (event == TcpConnection::Event::drained && !client.pending.empty() &&
         client.pending.front().stream != 0)
         stream_callbacks_.on_writable(client.pending.front().stream);
@@ -147,6 +151,7 @@
         if (!read_command(id, client)) break;
     }
     if (client.is_reading_stopped) discard_input(client);
+    update_read_ahead(client);
     write_responses(client);
 }
 
--- a/src/downstream/client_connections.h
+++ b/src/downstream/client_connections.h
@@ -189,6 +189,7 @@
     PauseReason find_pause_reason(const Client& client) const;
     bool is_total_command_limit_reached() const;
     void record_pause_reason(std::uint64_t id, Client& client, PauseReason reason);
+    void update_read_ahead(Client& client);
     void schedule_resume();
     void resume_paused_clients();
     void wait_for_turn(std::uint64_t id, Client& client);
--- a/src/downstream/paused_reading.cpp
+++ b/src/downstream/paused_reading.cpp
@@ -12,6 +12,10 @@
 // Clients may pipeline while the unanswered commands of all clients are fewer than this fraction of the
 // connection limit.
 constexpr double kPipelinedCommandsFraction = 0.25;
+// Limits the input that is received behind the open commands of one client.
+constexpr std::size_t kMaxReadAheadBytes = std::size_t{1024} * 1024;
+// The part of the byte budget up to which more than the ordinary input is received.
+constexpr std::size_t kReadAheadDivisor = 2;
 
 }  // namespace
 
@@ -50,6 +54,19 @@
         paused_clients_.push_back(id);
 }
 
+// Receives more input while commands of the client are open, so that its close, which follows the input, is
+// noticed before another attempt is made for them. The kernel reports a close only once it has received all
+// input before it.
+void ClientConnections::update_read_ahead(Client& client) {
+    const bool has_command_waiting = client.pause_reason != PauseReason::none &&
+                                     client.pause_reason != PauseReason::value_memory_limit &&
+                                     !client.pending.empty();
+    if (client.reserved_bytes > 0 || client.skipped_value || client.connection->is_closed()) return;
+    const bool has_memory = budget_.used < budget_.limit / kReadAheadDivisor;
+    const std::size_t limit = has_command_waiting && has_memory ? kMaxReadAheadBytes : limits_.read_limit;
+    if (client.connection->read_limit() != limit) client.connection->set_read_limit(limit);
+}
+
 // Called wherever commands are answered. Reading starts new requests, so it is deferred to the next iteration
 // of the main loop.
 void ClientConnections::schedule_resume() {
--- a/src/proxy/memory_plan.cpp
+++ b/src/proxy/memory_plan.cpp
@@ -34,7 +34,7 @@
     constexpr std::size_t kLeastInput = 2 * kMaxLineBytes;
     constexpr std::size_t kMostInput = kMaxBufferedValueBytes + kLeastInput;
     const double memory = memory_mb * kMegabyte;
-    const double connections = static_cast<double>(client_connections + server_connections);
+    const auto connections = static_cast<double>(client_connections + server_connections);
     const double fixed = processes * (kProcessBytes + 2.0 * kQueuedBytes) + connections * kConnectionBytes;
     const double side =
         std::clamp(kUsablePart * (memory - fixed) / 2, kSmallestPart * memory, kLargestPart * memory);
--- a/tests/memory_plan_test.cpp
+++ b/tests/memory_plan_test.cpp
@@ -1,8 +1,8 @@
 // Tests how the memory of a process is divided.
-#include <gtest/gtest.h>
-
 #include "proxy/memory_plan.h"
 
+#include <gtest/gtest.h>
+
 namespace {
 
 using brookrelay::make_memory_plan;
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "crowd.h"
 #include "fleet.h"
 
 namespace {
@@ -204,6 +205,36 @@
         static_cast<std::ptrdiff_t>(before));
 }
 
+// Guards against retries for a client that has left behind more input than its connection's buffers hold.
+TEST(ClientDisconnect, IsDetectedBehindAMegabyteOfCommands) {
+    Fleet fleet(1);
+    ScriptedPeer& cache = fleet.caches.front();
+    std::atomic<bool> may_answer{false};
+    cache.set_script([&may_answer](const std::string& m) {
+        while (!may_answer) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        return hit(m);
+    });
+    {
+        Crowd client(fleet.port(), 1, {std::size_t{1} << 20}, [](int) {
+            std::string commands;
+            for (int n = 0; n < 20000; ++n)
+                commands += read_of("k" + std::to_string(n), "p" + std::to_string(n), 60000);
+            return commands;
+        });
+        client.run(std::chrono::milliseconds(200));
+        wait_for([&] { return cache.received_messages().size() >= 8; });
+    }
+    // Attempts without an answer are retried once the server counts as silent and another request comes.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    const std::size_t before = cache.received_messages().size();
+    may_answer = true;
+    wait_for([&] { return fleet.ask(read_of("1", "after")) == "VA 5 Oafter\r\n"; });
+    const auto heard = cache.received_messages();
+    EXPECT_EQ(
+        std::count_if(heard.begin(), heard.end(), [](const std::string& m) { return id_in(m) != "after"; }),
+        static_cast<std::ptrdiff_t>(before));
+}
+
 // ---- discovery that is silent, late or sends older lists -------------------------------------------------
 
 // A scripted discovery server that answers watches with the current list, leaves calls unanswered, resets
