A request with an effect does not run again when its id comes again

Cause: an id was known only while its request was open. A request ends when its client closes; its attempt may run on, and the same id was then a new request, at this process or the next one.

Such an id is answered as failed, without an attempt; not as busy, which would promise that it has not run. Log event repeated_id.

Measured: AWriteWhoseClientLeftDoesNotRunAgainUnderItsId and AWriteDoesNotRunAgainAtTheNextProcess failed on (the origin received 3 of 2 and 2 of 1 requests) and pass.

--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -61,6 +61,8 @@
 constexpr const char* kZoneKeyPrefix = "\x01zone:";
 
 constexpr const char* kGossipDisabled = "this node does not talk with others: [fleet] in the operators' file";
+// The ids that may have run, in the node's folder.
+constexpr const char* kRepeatGuardFile = "/ids-that-ran";
 constexpr const char* kFailedReply = "SERVER_ERROR failed\r\n";
 
 // Whether the outcome proves that the server did not execute the attempt.
@@ -214,6 +216,9 @@
 
 void Node::start(int inherited) {
     has_shared_listener_ = inherited >= 0;
+    const std::string folder = node_folder(config_);
+    repeat_guard_ = std::make_unique<RepeatGuard>(
+        has_shared_listener_ && !folder.empty() ? folder + kRepeatGuardFile : std::string());
     std::string error;
     pending_listener_ =
         has_shared_listener_ ? adopt_listener(inherited, error) : bind_to(config_.listen, error);
@@ -422,9 +427,15 @@
     // Servers distinguish requests only by id: with a duplicate id, the response to one client's request
     // could be sent to the other client.
     const bool is_duplicate_id = requests_.is_id_open(command.id);
-    if (operation < 0 || is_duplicate_id || is_full) {
+    // Not rejected as busy, which would promise that it has not run.
+    const bool may_have_run = operation >= 0 && has_effect(operation) && repeat_guard_->contains(command.id);
+    if (may_have_run)
+        log_.line(Topic::node, "repeated_id",
+                  "request " + command.id + " may have run before: not sent again");
+    if (operation < 0 || is_duplicate_id || may_have_run || is_full) {
         // The request is rejected here and is not passed to the balancer.
         const std::string text = operation < 0     ? "CLIENT_ERROR unknown operation\r\n"
+                                 : may_have_run    ? kFailedReply
                                  : is_duplicate_id ? "CLIENT_ERROR id in use\r\n"
                                                    : format_busy(0);
         event_queue_.emplace_back([this, client, text](double) { clients_.respond(client, text); });
@@ -439,6 +450,11 @@
     return request;
 }
 
+bool Node::has_effect(int operation) const {
+    return config_.deployment.operations[static_cast<std::size_t>(operation)].idempotency !=
+           Idempotency::idempotent;
+}
+
 void Node::start_request(double now, int request, int operation) {
     ActiveRequest& active = requests_.at(request);
     metrics_.on_request();
@@ -490,8 +506,10 @@
     --active.in_flight;
     metrics_.on_attempt_end(result.outcome);
     trace(TraceEvent::attempt_ended, result.request, result.attempt, result.server, name_of(result.outcome));
-    if (result.written && proves_not_run(result.outcome) && --active.possible_runs == 0)
+    if (result.written && proves_not_run(result.outcome) && --active.possible_runs == 0) {
         active.may_have_run_since = 0;
+        repeat_guard_->remove(active.command.id);
+    }
     if (result.stream != 0 && !active.answered) {
         // The first bytes go to the client now, so no other attempt can answer the request.
         action_queue_.emplace_back(
@@ -739,6 +757,7 @@
         now >= active.may_have_run_since + active.operation.deduplication_window)
         violations_.report(Violation::deduplication_window_passed, describe_attempt());
     if (active.possible_runs++ == 0) active.may_have_run_since = now;
+    if (active.operation.idempotency != Idempotency::idempotent) repeat_guard_->add(active.command.id);
     metrics_.on_send(now - endpoints_confirmed_at_);
     trace(TraceEvent::attempt_written, request, attempt, server, {});
 }
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -36,6 +36,7 @@
 #include "proxy/iteration_monitor.h"
 #include "proxy/memory_plan.h"
 #include "proxy/metrics.h"
+#include "proxy/repeat_guard.h"
 #include "proxy/request_table.h"
 #include "proxy/request_trace.h"
 #include "proxy/server_table.h"
@@ -98,6 +99,7 @@
     double arrival_time();
     int on_command(const ClientConnections::RequestHandle& client, Command&& command, double received_at);
     void on_connection_closed(const ClientConnections::RequestHandle& client, int request);
+    bool has_effect(int operation) const;
     void start_request(double now, int request, int operation);
     void on_attempt_finished(double now, UpstreamPool::AttemptResult& result);
     void abandon_request(double now, int request, RequestEnd end);
@@ -158,6 +160,7 @@
     int deferrals_ = 0;  // consecutive iterations that deferred actions to the next one
     std::vector<int> finished_requests_;
     RequestTable requests_;
+    std::unique_ptr<RepeatGuard> repeat_guard_;  // null until start()
     // The client request that receives each streamed response, by stream id.
     std::unordered_map<std::uint64_t, ClientConnections::RequestHandle> streams_;
     AdminState admin_state_;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -573,6 +573,29 @@
     EXPECT_EQ(fleet.ask(read_of("2", "same")), "VA 5 Osame\r\n");  // the first request has ended
 }
 
+// Guards against a write that ran twice because its id came again after its client had left.
+TEST(Proxy, AWriteWhoseClientLeftDoesNotRunAgainUnderItsId) {
+    NodeOptions options;
+    options.write_idempotency = R"("at_most_once")";
+    Fleet fleet(1, options);
+    std::atomic<bool> release{false};
+    fleet.origin.set_script([&release](const std::string&) {
+        while (!release) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        return ScriptedResponse{http("made")};
+    });
+    const std::string write = "ms k 1 Oonce Pc=put,d=5000\r\nv\r\n";
+    {
+        TestSocket client(own_loopback(), fleet.port());
+        client.send(write);
+        wait_for([&] { return fleet.origin.received_messages().size() == 1; });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));  // the node has closed the connection
+    EXPECT_EQ(fleet.ask(write), "SERVER_ERROR failed\r\n");
+    release = true;
+    EXPECT_EQ(fleet.ask("ms k 1 Oother Pc=put,d=5000\r\nv\r\n"), "HD Oother cmade\r\n");
+    EXPECT_EQ(fleet.origin.received_messages().size(), 2U);
+}
+
 // A client that sends an incomplete command or nothing occupies a descriptor and is closed. A slow client
 // that makes progress is served.
 TEST(Proxy, StalledClientsAreClosedAndSlowOnesServed) {
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -15,6 +15,17 @@
     return options;
 }
 
+// A temporary folder for the processes of one node, as the platform passes it in TMPDIR.
+class TemporaryFolder {
+  public:
+    TemporaryFolder() { path_ = mkdtemp(path_.data()); }
+    ~TemporaryFolder() { std::filesystem::remove_all(path_); }
+    const std::string& path() const { return path_; }
+
+  private:
+    std::string path_ = "/tmp/brookrelay_ops_XXXXXX";
+};
+
 // A command that waited in the socket of a stopped process may be past its deadline when it is read: it is
 // rejected at once without an attempt. A command whose client still waits is served.
 TEST(Operations, RequestsReceivedWhileStoppedKeepTheirAge) {
@@ -118,6 +129,29 @@
     EXPECT_EQ(fleet.ask(read_of("last", "l1")), "VA 5 Ol1\r\n");
 }
 
+// Guards against a write that ran twice because its id came again at the other process of an upgrade.
+TEST(Operations, AWriteDoesNotRunAgainAtTheNextProcess) {
+    const TemporaryFolder scratch;
+    NodeOptions options = with_admin_address();
+    options.inherits_listener = true;
+    options.tmp = scratch.path();
+    options.write_idempotency = R"("at_most_once")";
+    Fleet fleet(1, options);
+    fleet.origin.set_script([](const std::string&) { return ScriptedResponse{}; });  // runs, never answers
+    const std::string write = "ms k 1 Oonce Pc=put,d=3000\r\nv\r\n";
+    {
+        TestSocket client(own_loopback(), fleet.port());
+        client.send(write);
+        wait_for([&] { return fleet.origin.received_messages().size() == 1; });
+    }
+    Process next = fleet.start_second_process();
+    wait_for([&] { return Fleet::call(next.management, "GET", "/control/ready") == 200; });
+    fleet.signal(SIGTERM);
+    EXPECT_EQ(fleet.exit_code(), 0);
+    EXPECT_EQ(fleet.ask(write), "SERVER_ERROR failed\r\n");
+    EXPECT_EQ(fleet.origin.received_messages().size(), 1U);
+}
+
 // A second process that is killed or cannot start does not affect the first one.
 TEST(Operations, ASecondProcessThatFailsLeavesTheFirstServing) {
     NodeOptions options = with_admin_address();
@@ -143,17 +177,6 @@
     EXPECT_NE(log_text.find("GW_ACCEPT_FD: descriptor 5 is no listening socket"), std::string::npos);
 }
 
-// A temporary folder for the processes of one node, as the platform passes it in TMPDIR.
-class TemporaryFolder {
-  public:
-    TemporaryFolder() { path_ = mkdtemp(path_.data()); }
-    ~TemporaryFolder() { std::filesystem::remove_all(path_); }
-    const std::string& path() const { return path_; }
-
-  private:
-    std::string path_ = "/tmp/brookrelay_ops_XXXXXX";
-};
-
 std::string server_call(const std::string& name, const char* what) {
     return "/control/cache-servers/" + name + "/" + what;
 }
