A retry is bound to the zone and cell that its first attempt had when it was sent

Cause: rule 2 compared the retry's server with the present entry of the first attempt's server.

Change: an attempt keeps the zone and cell that its server had.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -834,11 +834,10 @@
         for (const Attempt& attempt : request.attempts) {
             if (attempt.state == AttemptState::never_ran) continue;
             if (op.idempotency == Idempotency::none) return false;
-            const Server& previous = server_at(attempt.server);
-            if (op.deduplication_scope == DeduplicationScope::zone && previous.zone != target.zone)
+            if (op.deduplication_scope == DeduplicationScope::zone && attempt.zone != target.zone)
                 return false;
             if (op.deduplication_scope == DeduplicationScope::cell &&
-                (previous.cell != target.cell || previous.zone != target.zone))
+                (attempt.cell != target.cell || attempt.zone != target.zone))
                 return false;
             // The server checks the window when the retry arrives, which may be a connect timeout and a tick
             // later.
@@ -1169,7 +1168,7 @@
     // ---- attempts --------------------------------------------------------------------------------------
     void start_attempt(PendingRequest& request, int server_id, double timeout, double now) {
         Server& server = server_at(server_id);
-        request.attempts.push_back({server_id, now, AttemptState::in_flight});
+        request.attempts.push_back({server_id, server.zone, server.cell, now, AttemptState::in_flight});
         ++request.in_flight;
         ++server.in_flight;
         add_ring_in_flight(server, 1);
--- a/src/balancer/routing_state.h
+++ b/src/balancer/routing_state.h
@@ -16,6 +16,7 @@
 // One attempt of a request.
 struct Attempt {
     int server = 0;
+    int zone = 0, cell = 0;  // of the server when the attempt was started
     double sent_at = 0;
     AttemptState state = AttemptState::in_flight;
 };
