A new process at a known address, or a server at a new one, is not taken for the old one

Cause: the pool knew a server's connections by its number. When the list gave a server another address, only its idle connections were closed: one with an attempt became idle afterwards and carried the next ones to the old address, and an attempt that was connecting was sent there. A server that was listed at an address kept its place in the ring when another one had started there.

Change: a connection belongs to the process (address and start) that its server had when it was opened; after a change, unsent attempts are refused and the connection closes with its attempt. Of two servers that are listed at one address with different starts, the earlier one counts as removed (log event replaced). With equal or unknown starts both stay: an address may be shared, as large_fleet_test has it.

--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -555,7 +555,8 @@
         changed.push_back(server);
         servers_.update(server, record, admin_state_.state_of(record.name), wall_clock_.read());
         const Server& s = servers_.at(server);
-        pool_.add_server(server, s.name, s.address, servers_.is_origin(s));
+        pool_.add_server(server, s.name, {s.address, s.started_at}, servers_.is_origin(s));
+        remove_replaced(server, changed);
     }
     if (update.is_full) remove_unlisted(changed);
     std::vector<Endpoint> entries;
@@ -584,6 +585,17 @@
     open_for_clients();
 }
 
+// Marks as removed what the process of `server` has replaced at its address, or `server` itself if another
+// one has replaced it.
+void Node::remove_replaced(int server, std::vector<int>& changed) {
+    const int replaced = servers_.claim_address(server);
+    if (replaced == ServerTable::kUnknown) return;
+    servers_.at(replaced).state = EndpointState::removed;
+    if (std::find(changed.begin(), changed.end(), replaced) == changed.end()) changed.push_back(replaced);
+    log_.line(Topic::discovery, "replaced",
+              servers_.at(replaced).name + " counts as removed: another server is at its address");
+}
+
 // Marks all servers that a full list does not contain as removed and appends them to `changed`.
 void Node::remove_unlisted(std::vector<int>& changed) {
     const std::unordered_set<int> listed(changed.begin(), changed.end());
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -104,6 +104,7 @@
     void on_attempt_finished(double now, UpstreamPool::AttemptResult& result);
     void abandon_request(double now, int request, RequestEnd end);
     void apply_endpoint_update(double now, UpdateKind kind, const EndpointUpdate& update);
+    void remove_replaced(int server, std::vector<int>& changed);
     void remove_unlisted(std::vector<int>& changed);
     void on_registrations(const std::vector<RegistrationChange>& changes);
     void apply_operator_config(const OperatorConfig& operator_config);
--- a/src/proxy/server_table.cpp
+++ b/src/proxy/server_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace brookrelay {
 namespace {
@@ -77,6 +78,21 @@
     return is_restart ? clock.now : latest;
 }
 
+int ServerTable::claim_address(int number) {
+    const Server& server = at(number);
+    if (server.address.empty() || server.state == EndpointState::removed) return kUnknown;
+    int& owner = numbers_by_address_.try_emplace(server.address, number).first->second;
+    const Server& other = at(owner);
+    const bool is_other_listed =
+        owner != number && other.address == server.address && other.state != EndpointState::removed;
+    if (!is_other_listed) {
+        owner = number;
+        return kUnknown;
+    }
+    if (server.started_at == other.started_at) return kUnknown;  // the address may be shared
+    return server.started_at > other.started_at ? std::exchange(owner, number) : number;
+}
+
 void ServerTable::on_list_applied(double now) { last_list_at_ = now; }
 
 bool ServerTable::set_admin_state(int number, const AdminState::ServerState& state,
@@ -169,6 +185,8 @@
         }
         on_evict(number);
         numbers_.erase(at(number).name);
+        const auto owner = numbers_by_address_.find(at(number).address);
+        if (owner != numbers_by_address_.end() && owner->second == number) numbers_by_address_.erase(owner);
         at(number) = {};
         free_numbers_.push_back(number);
         position = removed_.erase(position);
--- a/src/proxy/server_table.h
+++ b/src/proxy/server_table.h
@@ -55,6 +55,10 @@
     /// Updates a server from `record`; fields that the record does not have keep their value.
     void update(int number, const EndpointRecord& record, const AdminState::ServerState& admin_state,
                 const ClockReading& clock);
+    /// Notes that a listed server is at its address. If two servers that are listed there have started at
+    /// different times, the process of the earlier one has gone: returns that one, or kUnknown if there is
+    /// none.
+    int claim_address(int number);
     /// Notes that a list from discovery has been applied at `now`; starts that are new in a later list
     /// happened after it.
     void on_list_applied(double now);
@@ -92,6 +96,7 @@
     const double initial_wall_offset_;
     double last_list_at_ = 0;  // monotonic, s; 0 until a list from discovery has been applied
     std::unordered_map<std::string, int> numbers_;
+    std::unordered_map<std::string, int> numbers_by_address_;  // of the process at each address
     // A deque does not move its elements: the balancer holds views of the names while servers are added.
     std::deque<Server> servers_;
     std::vector<int> free_numbers_;
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -57,15 +57,17 @@
     while (open_count_ > connection_limit_ && evict_idle()) continue;
 }
 
-void UpstreamPool::add_server(int server_id, const std::string& name, const std::string& address,
+void UpstreamPool::add_server(int server_id, const std::string& name, const ServerProcess& process,
                               bool is_origin) {
     if (server_id >= static_cast<int>(servers_.size()))
         servers_.resize(static_cast<std::size_t>(server_id) + 1);
     Server& server = server_at(server_id);
-    if (server.address != address) close_idle(server_id);  // the old address may now belong to another server
+    const bool is_other_process = !server.process.address.empty() && server.process != process;
     server.name = name;
-    server.address = address;
+    server.process = process;
     server.is_origin = is_origin;
+    // The previous address may now belong to another server.
+    if (is_other_process) refuse_unsent_attempts(server_id);
 }
 
 bool UpstreamPool::in_use(int server_id) const {
@@ -203,7 +205,7 @@
     on_write_(connection.request, connection.attempt, connection.server, time_left);
     connection.is_written = true;
     if (server.is_origin) {
-        write_request(connection, format_origin_request_head(command, time_left, server.address),
+        write_request(connection, format_origin_request_head(command, time_left, server.process.address),
                       command.value, {});
     } else {
         write_request(connection, format_command_line(command, time_left), command.value,
@@ -226,8 +228,8 @@
 void UpstreamPool::write_health_check(Connection& connection) {
     const Server& server = server_at(connection.server);
     connection.is_written = true;
-    connection.socket->write(server.is_origin ? format_http_request("GET", "/alive", server.address, {}, {})
-                                              : "mn\r\n");
+    connection.socket->write(
+        server.is_origin ? format_http_request("GET", "/alive", server.process.address, {}, {}) : "mn\r\n");
 }
 
 void UpstreamPool::send(int request, int attempt, const Command& command) {
@@ -286,8 +288,9 @@
     ++open_count_;
     ++server_at(server_id).open_connections;
     connection.server = server_id;
+    connection.process = server_at(server_id).process;
     connection.socket = std::make_unique<TcpConnection>(
-        server_at(server_id).address, kFirstReadLimitBytes, budget_,
+        connection.process.address, kFirstReadLimitBytes, budget_,
         [this, &connection](TcpConnection::Event event) { on_event(connection, event); });
     connection.connect_timer = timers_.schedule(monotonic_now() + connect_timeout_, [this, &connection] {
         connection.connect_timer = {};
@@ -407,6 +410,7 @@
         !connection.socket->input().empty())
         return close(connection);
     Server& server = server_at(connection.server);
+    if (connection.process != server.process) return close(connection);
     if (server_connection_limit_ && !server.is_origin &&
         server.open_connections > server_connection_limit_(connection.server, 0))
         return close(connection);  // the limit has been lowered since
--- a/src/upstream/upstream_pool.h
+++ b/src/upstream/upstream_pool.h
@@ -84,8 +84,15 @@
     void set_connection_limit(ConnectionLimit limit) { server_connection_limit_ = std::move(limit); }
     /// Closes the idle connections that exceed the limit of their server.
     void enforce_connection_limit();
-    /// Adds a server or changes its name and address. Idle connections to its old address are closed.
-    void add_server(int server_id, const std::string& name, const std::string& address, bool is_origin);
+    /// The process that is a server at present. Another address or start is another process.
+    struct ServerProcess {
+        std::string address;
+        double started_at = 0;  // Unix time in seconds; 0: long ago
+        bool operator==(const ServerProcess&) const = default;
+    };
+    /// Adds a server, or changes its name and process. Connections to its previous process carry no further
+    /// attempt.
+    void add_server(int server_id, const std::string& name, const ServerProcess& process, bool is_origin);
     /// Returns whether any connection to the server is open.
     bool in_use(int server_id) const;
     /// Removes a server that is not in use. Its id may then be given to another server.
@@ -143,6 +150,7 @@
 
     struct Connection {
         int server = 0;
+        ServerProcess process;  // of the server when the connection was opened
         std::unique_ptr<TcpConnection> socket;
         bool is_busy = false;
         bool is_read = false;  // the request in flight is a read, whose response must be a value
@@ -165,7 +173,8 @@
         bool is_writing_chunk = false;  // BodySink::write is being called, which may call resume()
     };
     struct Server {
-        std::string name, address;
+        std::string name;
+        ServerProcess process;
         bool is_origin = false;
         std::vector<Connection*> idle;  // in ascending order of last use
         int open_connections = 0;       // number of open connections, including idle ones
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -596,6 +596,50 @@
     EXPECT_EQ(fleet.origin.received_messages().size(), 2U);
 }
 
+// Guards against connections to the address that a server had before: another server may be there now.
+TEST(Proxy, AServerThatMovedIsReachedAtItsNewAddressOnly) {
+    UpdateFeed updates;
+    Fleet fleet(2, {256, 250, updates.script()});
+    ScriptedPeer& old_place = fleet.caches.front();
+    ScriptedPeer& new_place = fleet.caches.back();
+    std::atomic<bool> release{false};
+    old_place.set_script([&release](const std::string& m) {
+        while (!release) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        return hit(m);
+    });
+    updates.publish(R"({"host":")" + Fleet::name(new_place) + R"(","health":"DELETED"})");
+    TestSocket line(own_loopback(), fleet.port());
+    line.send(read_of("1", "held"));
+    wait_for([&] { return old_place.received_messages().size() == 1; });
+    updates.publish(Fleet::entry(Fleet::name(old_place), new_place, "SERVING"));
+    release = true;
+    EXPECT_EQ(line.until("hello\r\n"), "VA 5 Oheld\r\nhello\r\n");
+    for (const char* id : {"n1", "n2"})
+        EXPECT_EQ(fleet.ask(read_of("1", id)), std::string("VA 5 O") + id + "\r\n");
+    EXPECT_EQ(new_place.received_messages().size(), 2U);
+    EXPECT_EQ(old_place.received_messages().size(), 1U);
+}
+
+// Guards against a new process that is taken for the server that was at its address before.
+TEST(Proxy, AServerIsGoneOnceAnotherIsAtItsAddress) {
+    UpdateFeed updates;
+    Fleet fleet(2, {256, 250, updates.script()});
+    ScriptedPeer& place = fleet.caches.front();
+    // Started long ago enough to be warm, but later than the other one.
+    updates.publish(R"({"host":"next","dial":")" + place.address() +
+                    R"(","site":"a","class":"m","block":0,"health":"SERVING","share":1.0,"born_ms":1000})");
+    EXPECT_TRUE(fleet.logged(Fleet::name(place) + " counts as removed"));
+    // What is still told of the old one does not concern the new one.
+    updates.publish(Fleet::entry(Fleet::name(place), place, "SERVING"));
+    updates.publish(R"({"host":")" + Fleet::name(fleet.caches.back()) + R"(","health":"DELETED"},)" +
+                    R"({"host":")" + Fleet::name(place) + R"(","health":"DELETED"})");
+    EXPECT_EQ(fleet.ask(read_of("1", "a1")), "VA 5 Oa1\r\n");
+    EXPECT_EQ(place.received_messages().size(), 1U);
+    updates.publish(R"({"host":"next","health":"DRAINING"})");
+    (void)fleet.ask(read_of("1", "a2"));
+    EXPECT_EQ(place.received_messages().size(), 1U);
+}
+
 // A client that sends an incomplete command or nothing occupies a descriptor and is closed. A slow client
 // that makes progress is served.
 TEST(Proxy, StalledClientsAreClosedAndSlowOnesServed) {
