--- a/src/proxy/repeat_guard.cpp
+++ b/src/proxy/repeat_guard.cpp
@@ -45,9 +45,9 @@
 
 const std::atomic<RepeatGuard::Hash>* RepeatGuard::find(Hash hash) const {
     if (ring_ == nullptr) return nullptr;
-    const auto* found = std::find_if(std::begin(ring_->hashes), std::end(ring_->hashes), [hash](const auto& slot) {
-        return slot.load(std::memory_order_relaxed) == hash;
-    });
+    const auto* found =
+        std::find_if(std::begin(ring_->hashes), std::end(ring_->hashes),
+                     [hash](const auto& slot) { return slot.load(std::memory_order_relaxed) == hash; });
     return found == std::end(ring_->hashes) ? nullptr : found;
 }
 
--- a/src/proxy/repeat_guard.h
+++ b/src/proxy/repeat_guard.h
@@ -2,8 +2,8 @@
 /// again: on another connection after its client has left, or at another process of this node.
 ///
 /// The most recent kCapacity ids are kept, as hashes, in a file that all processes of the node map, or in
-/// private memory if there is none. Errors of the file are not reported: the ids are then known to this process
-/// alone. Not thread-safe, but safe among processes.
+/// private memory if there is none. Errors of the file are not reported: the ids are then known to this
+/// process alone. Not thread-safe, but safe among processes.
 #pragma once
 
 #include <atomic>
--- a/src/testkit/shim/fault_shim.cpp
+++ b/src/testkit/shim/fault_shim.cpp
@@ -6,7 +6,7 @@
 //   FAULT_SHIM_SEED   a number; processes with the same seed draw the same sequence
 //   FAULT_SHIM_CLOCK  AT:BY,...     the wall clock is stepped by BY seconds at AT
 //   FAULT_SHIM_CALLS  FROM:TO:P,... between FROM and TO a network call fails with probability P
-//   FAULT_SHIM_KERNEL_BUFFERS  BYTES  the kernel's buffers of each TCP connection, where it would use
+//   FAULT_SHIM_SEND_BUFFERS  BYTES  the kernel's buffers of each TCP connection, where it would use
 //   megabytes FAULT_SHIM_DISK   FROM:TO:P,... and so does a write, sync or rename in a folder named
 //   .../brookrelay-...
 //
@@ -70,8 +70,7 @@
     FaultPlan() : started_at_(monotonic()) {
         if (const char* seed = std::getenv("FAULT_SHIM_SEED"))
             random_state_ += std::strtoull(seed, nullptr, 10);
-        if (const char* bytes = std::getenv("FAULT_SHIM_KERNEL_BUFFERS"))
-            kernel_buffer_bytes_ = std::atoi(bytes);
+        if (const char* bytes = std::getenv("FAULT_SHIM_SEND_BUFFERS")) send_buffer_bytes_ = std::atoi(bytes);
         read_entries("FAULT_SHIM_CLOCK", [this](const double* n) { clock_steps_.push_back({n[0], n[1]}); });
         read_entries("FAULT_SHIM_CALLS", [this](const double* n) {
             call_faults_.push_back({n[0], n[1], n[2]});
@@ -80,10 +79,9 @@
             disk_faults_.push_back({n[0], n[1], n[2]});
         });
     }
-    void limit_kernel_buffers(int fd) const {
-        if (kernel_buffer_bytes_ == 0) return;
-        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &kernel_buffer_bytes_, sizeof kernel_buffer_bytes_);
-        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kernel_buffer_bytes_, sizeof kernel_buffer_bytes_);
+    void limit_send_buffer(int fd) const {
+        if (send_buffer_bytes_ == 0) return;
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_buffer_bytes_, sizeof send_buffer_bytes_);
     }
     double wall_step() const {
         double step = 0;
@@ -111,7 +109,7 @@
         });
     }
     double started_at_;
-    int kernel_buffer_bytes_ = 0;  // 0: the system's choice
+    int send_buffer_bytes_ = 0;  // 0: the system's choice
     std::uint64_t random_state_ = 1;
     std::vector<ClockStep> clock_steps_;
     std::vector<Window> call_faults_, disk_faults_;
@@ -168,7 +166,7 @@
     static const auto real_call = next_symbol(&accept, "accept");
     if (socket_call_fails()) return fail(fault_plan().pick_error({ECONNABORTED, ENFILE, ENOBUFS, EINTR}));
     const int accepted = real_call(fd, address, size);
-    if (accepted >= 0) fault_plan().limit_kernel_buffers(accepted);
+    if (accepted >= 0) fault_plan().limit_send_buffer(accepted);
     return accepted;
 }
 
@@ -183,7 +181,7 @@
     if (socket_call_fails())
         return fail(fault_plan().pick_error({EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EINTR}));
     connected_sockets().insert(fd);
-    fault_plan().limit_kernel_buffers(fd);
+    fault_plan().limit_send_buffer(fd);
     return real_call(fd, address, size);
 }
 
