--- a/tests/slow_servers_test.cpp
+++ b/tests/slow_servers_test.cpp
@@ -48,10 +48,11 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Kinds, ServerThatReadsSlowly,
-    testing::Values(SlowReader{"keyed_at_the_origin", R"("deduplicated","group":"all","key_ttl_us":3000000)", 2'000'000},
-                    SlowReader{"short_at_the_origin", R"("deduplicated","group":"all","key_ttl_us":3000000)", 64'000},
-                    SlowReader{"idempotent", R"("idempotent")", 2'000'000},
-                    SlowReader{"once", R"("at_most_once")", 2'000'000}),
+    testing::Values(
+        SlowReader{"keyed_at_the_origin", R"("deduplicated","group":"all","key_ttl_us":3000000)", 2'000'000},
+        SlowReader{"short_at_the_origin", R"("deduplicated","group":"all","key_ttl_us":3000000)", 64'000},
+        SlowReader{"idempotent", R"("idempotent")", 2'000'000},
+        SlowReader{"once", R"("at_most_once")", 2'000'000}),
     [](const auto& c) { return c.param.name; });
 
 struct SlowWriter {
