Over the byte budget only incomplete commands are shed, not whole ones answered

Cause: shed_input(), which runs when the clients' buffers are over their budget, answered every complete command in the input at once with an error line, to free the input. A pipelined 'mn' of 4 bytes became a pending answer of some 200 bytes, and a client that reads nothing kept them all; the more was shed, the more memory was in use.

Found by reading the change once more.

--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -230,26 +230,17 @@
     close_if_done(id, client);
 }
 
-// Frees the memory of buffered input. Each complete command in it is answered with an error, because it is
-// already read and must not be lost. An incomplete write is rejected, and the rest of its value is discarded
-// as it arrives; any other long incomplete command is rejected together with its connection.
+// Frees the memory of an incomplete command. A write is rejected, and the rest of its value is discarded as
+// it arrives; any other long incomplete command is rejected together with its connection. Complete commands
+// stay in the input, which is bounded: an answer to each at once would occupy more than they do.
 void ClientConnections::shed_input(std::uint64_t id, Client& client) {
     Command command;
     ValuePosition value;
-    std::size_t parsed_bytes = 0;
-    while ((parsed_bytes = parse_command(client.connection->input(), command, value)) > 0 &&
-           command.kind != Command::Kind::malformed) {
-        (void)consume(client, parsed_bytes);
-        finish_response(client.pending.emplace_back(), std::string(kOutOfMemoryLine) + "\r\n");
-        ++unanswered_commands_;
-    }
-    if (client.connection->input().size() > kMaxLineBytes) {
-        const WriteHeader header = parse_write_header(client.connection->input());
-        if (header.header_bytes == 0 || header.length > kMaxValueBytes)
-            return reject_connection(id, client, kOutOfMemoryLine);
-        refuse_long_write(client);
-    }
-    write_responses(client);
+    if (parse_command(client.connection->input(), command, value) > 0) return close_if_done(id, client);
+    const WriteHeader header = parse_write_header(client.connection->input());
+    if (header.header_bytes == 0 || header.length > kMaxValueBytes)
+        return reject_connection(id, client, kOutOfMemoryLine);
+    refuse_long_write(client);
     read_commands(id, client);
     close_if_done(id, client);
 }
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -66,6 +66,13 @@
 }
 std::string short_answer(int n) { return read_of("s" + number_id(n), number_id(n), 5000); }
 std::string long_answer(int n) { return read_of("l" + number_id(n), number_id(n), 5000); }
+// Alternating: pipelined commands, with short answers that are not read, and half writes.
+std::string pipelines_and_half_writes(int n) {
+    if (n % 4 != 0) return half_a_write(n);
+    std::string text = read_of("s" + number_id(n), number_id(n), 5000);
+    while (text.size() < 500'000) text += "mn\r\n";
+    return text;
+}
 std::string mixed(int n) {
     return n % 4 == 0   ? slow_writes(n)
            : n % 4 == 1 ? half_a_write(n)
@@ -115,6 +122,7 @@
         CrowdCase{"short_answers_small_buffers_32", kLeastMemoryMb, {4096, 200, 4096}, short_answer, true},
         CrowdCase{"long_answers_small_buffers_32", kLeastMemoryMb, {4096, 2000, 4096}, long_answer, true},
         CrowdCase{"long_answers_small_buffers_192", kMostMemoryMb, {4096, 2000, 4096}, long_answer, true},
+        CrowdCase{"pipelines_32", kLeastMemoryMb, {65536, 0, 4096}, pipelines_and_half_writes, true},
         CrowdCase{"mixed_small_buffers_32", kLeastMemoryMb, {4096, 1000, 4096}, mixed, true}),
     [](const auto& c) { return c.param.name; });
 
