A long write of which a part was received behind open commands reserves its memory

Cause: reading ahead raises a client's read limit, and memory was reserved only once the input had reached the present limit. A long write that had come to the front with less than that was left unread, with its limit lowered again, until some other event of its client.

Change: memory is reserved, and the wait for it recorded, from the ordinary limit on.

--- a/src/downstream/long_writes.cpp
+++ b/src/downstream/long_writes.cpp
@@ -22,7 +22,9 @@
 // than the ordinary read limit holds. Other clients with long values wait, so that no client has to be closed
 // in the middle of its value. Returns false if this client has to wait.
 bool ClientConnections::reserve_long_value(Client& client) {
-    if (!client.connection->is_read_buffer_full()) return true;
+    const bool has_reservation = client.reserved_bytes > 0 && !client.connection->is_read_buffer_full();
+    // More than the ordinary limit may have been received behind open commands.
+    if (has_reservation || client.connection->input().size() < limits_.read_limit) return true;
     const std::size_t length = parse_write_header(client.connection->input()).length;
     if (length == 0 || length > kMaxValueBytes) return true;  // rejected by the parser
     if (!long_write_memory_.try_reserve(client.reserved_bytes, length)) return false;
--- a/src/downstream/paused_reading.cpp
+++ b/src/downstream/paused_reading.cpp
@@ -45,7 +45,7 @@
     Command command;
     ValuePosition value;
     const bool is_command_available =
-        (client.connection->is_read_buffer_full() && parse_write_header(input).length > 0) ||
+        (input.size() >= limits_.read_limit && parse_write_header(input).length > 0) ||
         parse_command(input, command, value) > 0;
     if (!is_command_available) return;
     client.pause_reason = reason;
--- a/tests/client_connections_test.cpp
+++ b/tests/client_connections_test.cpp
@@ -164,6 +164,34 @@
     EXPECT_TRUE(memory.try_reserve(40, 100));
 }
 
+// Guards against a long write that is left unread: a part of it was received behind an open command.
+TEST(LongWrite, BehindAStreamedValueIsReadToItsEnd) {
+    constexpr int kMs = 9000, kPieces = 20;
+    constexpr std::size_t kPieceBytes = 10'000;
+    NodeOptions options;
+    options.memory_mb = kSmallMemoryMb;
+    Fleet fleet(1, options);
+    fleet.caches.front().set_script([](const std::string& message) {
+        ScriptedResponse response{"VA " + std::to_string(kPieces * kPieceBytes) + " O" + id_in(message) +
+                                  " h1\r\n"};
+        response.pieces.assign(kPieces, std::string(kPieceBytes, 'x'));
+        response.pieces.back() += "\r\n";
+        response.piece_interval_ms = 20;
+        return response;
+    });
+    TestSocket line(own_loopback(), fleet.port());
+    line.send(read_of("k", "r1", kMs));
+    EXPECT_TRUE(line.until("\r\n").starts_with("VA "));
+    const std::string write = whole_write("w1", kLongWriteBytes, kMs);
+    line.send(write.substr(0, write.size() / 2));
+    EXPECT_EQ(line.bytes(kPieces * kPieceBytes + 2).size(), kPieces * kPieceBytes + 2);
+    std::this_thread::sleep_for(100 * kMillisecond);
+    const double sent_at = now_seconds();
+    line.send(write.substr(write.size() / 2));
+    EXPECT_EQ(line.until("\r\n"), "HD Ow1 cmade\r\n");
+    EXPECT_LT(now_seconds() - sent_at, 2.0);
+}
+
 class StalledLongWrite : public testing::TestWithParam<std::size_t> {};
 
 // Guards against clients that stop inside a long write and keep the long writes of all others waiting: these
