--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -1,6 +1,6 @@
 // What many or unsound clients may occupy of a node: its memory, and turns of its event loop. The memory is
 // what the platform counts; the time is that of other clients' answers.
-#include "crowd.h"
+#include "testkit/crowd.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -5,8 +5,8 @@
 
 #include <algorithm>
 
-#include "crowd.h"
 #include "fleet.h"
+#include "testkit/crowd.h"
 
 namespace {
 
