--- a/src/testkit/crowd.cpp
+++ b/src/testkit/crowd.cpp
@@ -58,8 +58,8 @@
     if (pace_.repeats && member.written == member.text.size()) member.written = 0;
     const std::size_t bytes = std::min(pace_.written, member.text.size() - member.written);
     if (bytes > 0) {
-        const ssize_t sent = send(member.descriptor, member.text.data() + member.written, bytes,
-                                  MSG_NOSIGNAL | MSG_DONTWAIT);
+        const ssize_t sent =
+            send(member.descriptor, member.text.data() + member.written, bytes, MSG_NOSIGNAL | MSG_DONTWAIT);
         if (sent < 0 && errno != EAGAIN) return false;
         member.written += static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
     }
