A fault of a thousand servers no longer holds up the test kit

Servers are now found by a map, and a fault is injected into 32 servers in an iteration of the event loop.

--- a/src/testkit/rehearsal.cpp
+++ b/src/testkit/rehearsal.cpp
@@ -55,10 +55,12 @@
     std::random_device entropy;
     environment_.day =
         entropy();  // makes the request ids of concurrent runs distinct; no result depends on it
-    const int servers = static_cast<int>(scenario_.server_names().size()) - 1;
+    const std::vector<std::string> names = scenario_.server_names();
+    const int servers = static_cast<int>(names.size()) - 1;
     for (int i = 0; i < servers; ++i) {
         caches_.push_back(
             std::make_unique<FakeCacheServer>(environment_, i, scenario_.kinds[index(scenario_.kind_of(i))]));
+        caches_by_name_[names[index(i)]] = caches_.back().get();
     }
     origin_ = std::make_unique<FakeOriginServer>(environment_, servers);
     discovery_ = std::make_unique<FakeDiscoveryServer>(environment_, scenario_.nodes);
@@ -81,11 +83,7 @@
     }
 }
 
-FakeCacheServer* ScenarioRun::find_server(const std::string& name) {
-    const std::vector<std::string> names = scenario_.server_names();
-    const auto at = std::find(names.begin(), names.end(), name);
-    return caches_[static_cast<std::size_t>(at - names.begin())].get();
-}
+FakeCacheServer* ScenarioRun::find_server(const std::string& name) { return caches_by_name_.at(name); }
 
 void ScenarioRun::fail(const std::string& why) {
     if (result_.failed.empty()) result_.failed = why;
--- a/src/testkit/run_faults.cpp
+++ b/src/testkit/run_faults.cpp
@@ -11,11 +11,12 @@
 
 using audit::index;
 
-constexpr double kDefaultRemovalDelay = 2.0;    // seconds from draining to removal
-constexpr double kDefaultServerDowntime = 2.0;  // seconds until a crashed server starts again
-constexpr double kBrokenFileDuration = 1.0;     // seconds for which a broken configuration file is in place
-constexpr double kReloadInterval = 0.06;        // seconds between reloads in quick succession
-constexpr double kDefaultStarvedRatio = 0.8;    // fraction of each starvation period that a node is stopped
+constexpr double kDefaultRemovalDelay = 2.0;      // seconds from draining to removal
+constexpr double kDefaultServerDowntime = 2.0;    // seconds until a crashed server starts again
+constexpr double kBrokenFileDuration = 1.0;       // seconds for which a broken configuration file is in place
+constexpr double kReloadInterval = 0.06;          // seconds between reloads in quick succession
+constexpr std::size_t kServersPerIteration = 32;  // that a fault is injected into in one iteration
+constexpr double kDefaultStarvedRatio = 0.8;      // fraction of each starvation period that a node is stopped
 
 std::vector<int> affected_nodes(const Trouble& t) {
     return t.nodes.empty() ? std::vector<int>{t.node} : t.nodes;
@@ -92,6 +93,16 @@
     environment_.at(environment_.now() + kReloadInterval, [this, &t, turn] { reload_node(t, turn + 1); });
 }
 
+// Injects the fault into its servers, from the one at `first` on. A fault of a thousand servers takes several
+// iterations of the event loop, as otherwise the clients and servers of this process would stand still.
+void ScenarioRun::inject_server_faults(const Trouble& t, std::size_t first) {
+    if (has_ended_) return;
+    const std::size_t last = std::min(first + kServersPerIteration, t.who.size());
+    for (std::size_t i = first; i < last; ++i) inject_server_fault(t, *find_server(t.who[i]));
+    if (last == t.who.size()) return;
+    environment_.at(environment_.now(), [this, &t, last] { inject_server_faults(t, last); });
+}
+
 // NOLINTNEXTLINE(readability-function-cognitive-complexity,readability-function-size): see ROADMAP
 void ScenarioRun::inject_fault(const Trouble& t) {
     if (has_ended_) return;
@@ -106,7 +117,7 @@
         case TroubleKind::drain:
         case TroubleKind::remove:
         case TroubleKind::spoilt:
-            for (const std::string& name : t.who) inject_server_fault(t, *find_server(name));
+            inject_server_faults(t, 0);
             break;
         case TroubleKind::void_copies:
             for (const auto& c : caches_) c->drop_part(t.part, plan_.seed);
--- a/src/testkit/scenario_run.h
+++ b/src/testkit/scenario_run.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "testkit/fake_cache_server.h"
@@ -77,6 +78,7 @@
 
     // Faults, run_faults.cpp.
     void inject_fault(const Trouble& trouble);
+    void inject_server_faults(const Trouble& trouble, std::size_t first);
     void inject_server_fault(const Trouble& trouble, FakeCacheServer& server);
 
     // Measurements, run_monitor.cpp.
@@ -95,6 +97,7 @@
     TestEnvironment environment_;
     std::vector<PlannedRequest> schedule_;
     std::vector<std::unique_ptr<FakeCacheServer>> caches_;
+    std::unordered_map<std::string, FakeCacheServer*> caches_by_name_;
     std::unique_ptr<FakeOriginServer> origin_;
     std::unique_ptr<FakeDiscoveryServer> discovery_;
     std::unique_ptr<NetworkFaultProxy> network_;  // null in runs without gossip and network cuts
