A request is lost with its node if the node ends while its client connects

A node that ended earlier frees no request. Two cases of the auditor hold both sides; the first failed before.

--- a/src/audit/auditor.cpp
+++ b/src/audit/auditor.cpp
@@ -33,7 +33,7 @@
     if (history_.requests.size() <= index(request)) history_.requests.resize(index(request) + 1);
     RequestRecord& record = history_.requests[index(request)];
     record.info = info;
-    record.received_at = now;
+    record.begun_connecting_at = record.received_at = now;
     record.is_registered = true;
     if (info.is_counted) ++verdict_.requests;
     if (history_.users.size() <= index(info.user)) history_.users.resize(index(info.user) + 1);
@@ -160,7 +160,7 @@
 
 bool Auditor::is_lost_with_node(const RequestRecord& request) const {
     const std::size_t node = index(request.info.node);
-    return std::max(node_killed_at_[node], node_paused_until_[node]) >= request.received_at;
+    return std::max(node_killed_at_[node], node_paused_until_[node]) >= request.begun_connecting_at;
 }
 
 void Auditor::end_request(int request, double now, RequestEnd end) {
--- a/src/audit/history.h
+++ b/src/audit/history.h
@@ -42,7 +42,8 @@
 
 struct RequestRecord {
     RequestInfo info;
-    bool is_registered = false;  // false: a number that no client has used yet
+    bool is_registered = false;      // false: a number that no client has used yet
+    double begun_connecting_at = 0;  // the node may end between this and received_at
     double received_at = 0;
     double ended_at = -1;  // -1: not ended
     double begun_at = -1;  // when the first bytes of a long value arrived; -1: not yet
--- a/tests/audit_test.cpp
+++ b/tests/audit_test.cpp
@@ -140,6 +140,20 @@
          run.auditor.on_request_written(1.2, 0);
          run.auditor.on_response(2.26, 0, Reply::rejected, -1);
      }},
+    {"a node that is killed while a client connects to it", 0, "",
+     [](RunHistory& run) {
+         run.send_request(1, 0, kRead);
+         run.auditor.on_node_killed(1.001, 0);
+         run.auditor.on_request_written(1.002, 0);
+         run.auditor.on_connection_closed(1.003, 0);
+     }},
+    {"a node that was killed before a client began to connect", 1, "closed the connection",
+     [](RunHistory& run) {
+         run.auditor.on_node_killed(0.999, 0);
+         run.send_request(1, 0, kRead);
+         run.auditor.on_request_written(1.002, 0);
+         run.auditor.on_connection_closed(1.003, 0);
+     }},
     {"a response within the grace", 0, "",
      [](RunHistory& run) {
          run.send_request(1, 0, kRead);
