Review cases 6 to 10: sources are named so that the earlier build takes none of them

Cause: review/build.sh of the earlier review builds each review/[0-9]*/case.cpp with its own stand-ins. It failed at review/10 and left out the cases behind it.

Change: the sources of this review are play.cpp; review/build-2.sh builds them.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 mkdir -p build/review-2
 for number in 6 7 8 9 10; do
-  [ -f "review/$number/case.cpp" ] || continue
-  "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra -pthread -Ireview/standin-2 -o "build/review-2/case-$number" "review/$number/case.cpp"
+  [ -f "review/$number/play.cpp" ] || continue
+  "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra -pthread -Ireview/standin-2 -o "build/review-2/case-$number" "review/$number/play.cpp"
 done
