--- a/review/standin-2/kit2.h
+++ b/review/standin-2/kit2.h
@@ -437,9 +437,10 @@
 struct Config {
     int memory_mb = 192, sockets = 1024;
     std::string operations;  // JSON, the entries of 'operations'
-    std::string permissions = R"("cancel": true, "may_duplicate": false, "most_forwards": 3,
-        "connect_timeout_us": 250000, "conn_idle_us": 15000000, "max_open": 20000,
-        "retry_after": true, "max_retry_after_us": 1000000)";
+    // Those of kochi-head-office; JSON, the entries of 'permissions'.
+    std::string permissions =
+        R"("cancel": true, "may_duplicate": true, "may_probe": true, "most_forwards": 6,
+        "connect_timeout_us": 250000, "conn_idle_us": 15000000, "max_open": 20000, "retry_after": false)";
     std::string text(const Node& node, Discovery& discovery) const {
         return "{\"name\":\"n0\",\"listen\":\"" + at(node.port) + "\",\"discovery\":\"" +
                at(discovery.listener.port) + "\",\"seed\":\"8c1f30d27a5be964\",\"management\":\"" +
@@ -453,7 +454,7 @@
  "specifics":{"mode":"aside","origin_kind":1,"origin_fall_multiple":0.0,"origin_fall_us":3000000},
  "permissions":{)" +
                permissions + R"(},
- "guarantees":{"ask_every_us":10000000,"grace_to_answer_us":20000,"stop_sending_within_us":500000,"cold_from":0.3,
+ "guarantees":{"ask_every_us":10000000,"grace_to_answer_us":20000,"stop_sending_within_us":300000,"cold_from":0.3,
                "warm_within_us":9000000,"fall_multiple":4.0,"fall_us":2000000},
  "operations":[)" +
                operations + "]}}";
