A node that was told to end delivers the values that it passes on

No SIGKILL had come.

Cause: GracefulShutdown::next_step returned `finish` half a second after the time at which open requests fail, whatever was on its way. A long value counts as answered from its first byte on, so it is no open request, and the clients were not asked behind that time. The platform's earliest kill was taken for the kill.

Change: the end waits for responses that have begun, or that are complete and not taken by their clients. What ends that wait is what ends it in a running node, 10 s without a byte. Requests that come after the earliest kill are answered `busy` at once and sent nowhere, since the process may now be there for long. A lingering close counts from when the client's host has acknowledged all; before, a slow client's next command met a closed socket, and the reset cut off what the kernel still held. Log event `delivers_before_end`.

Why it works: the process ends only when no client lacks a byte that was promised to it, by the account by which responses are written.

--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -227,9 +227,16 @@
         close_gracefully(idle[i].second, clients_.at(idle[i].second), CloseReason::too_many_idle);
 }
 
+// Counts the response bytes that the client has not taken. While the connection is open, those in the kernel
+// are not counted: they do not occupy this node's memory.
+std::size_t ClientConnections::unread_response_bytes(const Client& client) {
+    const std::size_t unwritten = client.connection->unwritten_bytes();
+    return client.is_closing ? unwritten + client.connection->unacknowledged_bytes() : unwritten;
+}
+
 void ClientConnections::check_timeouts(std::uint64_t id, Client& client, double now) {
-    if (client.connection->unwritten_bytes() != client.unread_response_bytes) {
-        client.unread_response_bytes = client.connection->unwritten_bytes();
+    if (const std::size_t unread = unread_response_bytes(client); unread != client.unread_response_bytes) {
+        client.unread_response_bytes = unread;
         client.unread_since = now;
     }
     // A client is not silent while this node has paused reading its input or has not yet received it.
@@ -258,8 +265,9 @@
                              ? client.pending.empty()
                              : is_shutting_down_ && is_between_commands(client, kFirstCommandGraceSeconds);
     if (!is_done || client.is_closing) return;
-    const bool is_idle =
-        client.connection->unwritten_bytes() == 0 && monotonic_now() - client.last_used >= kMinIdleSeconds;
+    const bool is_idle = client.connection->unwritten_bytes() == 0 &&
+                         !client.connection->has_unacknowledged_output() &&
+                         monotonic_now() - client.last_used >= kMinIdleSeconds;
     const CloseReason reason = client.is_reading_stopped ? client.close_reason : CloseReason::shutdown;
     if (close_idle_at_once_ && !client.is_reading_stopped && is_idle) return close(id, client, reason);
     close_gracefully(id, client, reason);
@@ -292,13 +300,13 @@
     start_lingering_close(id, client);
 }
 
-// Starts or restarts the linger time, which counts from when all output is written, so that a slow client can
-// still read its last response completely.
+// Starts or restarts the linger time, which counts from when the client has taken all output, so that a slow
+// client can still read its last response completely.
 void ClientConnections::start_lingering_close(std::uint64_t id, Client& client) {
     timers_.cancel(client.linger_timer);
     client.linger_timer = timers_.schedule(monotonic_now() + kLingerSeconds, [this, id, &client] {
         client.linger_timer = {};
-        if (client.connection->unwritten_bytes() > 0) {
+        if (unread_response_bytes(client) > 0) {
             start_lingering_close(id, client);
         } else {
             close(id, client, client.close_reason);
@@ -324,6 +332,14 @@
            });
 }
 
+bool ClientConnections::has_undelivered_responses() const {
+    return std::any_of(clients_.begin(), clients_.end(), [](const auto& entry) {
+        const Client& client = entry.second;
+        if (client.connection->is_closed()) return false;
+        return !client.pending.empty() || unread_response_bytes(client) > 0;
+    });
+}
+
 void ClientConnections::close(std::uint64_t id, Client& client, CloseReason reason) {
     if (client.connection->is_closed()) return;
     if (!client.is_closing && !may_close(reason, close_facts(client)))
--- a/src/downstream/client_connections.h
+++ b/src/downstream/client_connections.h
@@ -129,6 +129,10 @@
     std::size_t used_bytes() const { return budget_.used; }
     /// Returns whether no command has arrived since `time` and none is unanswered or unread.
     bool idle_since(double time) const;
+    /// Returns whether a command is unanswered, or a response is not yet delivered. A connection that is
+    /// being closed counts until its client's host has acknowledged everything, or the linger time has
+    /// passed.
+    bool has_undelivered_responses() const;
     /// Frees the connections closed since the last call. Must not be called from a callback of this object.
     void destroy_closed();
 
@@ -178,7 +182,7 @@
         std::uint64_t first_command = 0;        // sequence number of pending.front()
         double last_used = 0;                   // when bytes were last received, written or resumed
         double last_received = 0;               // when bytes were last received or reading last resumed
-        std::size_t unread_response_bytes = 0;  // unwritten response bytes at the last check_timeouts()
+        std::size_t unread_response_bytes = 0;  // as counted at the last check_timeouts()
         double unread_since = 0;                // when check_timeouts() last saw that number change
         bool is_reading_stopped = false;        // further input is discarded
         bool is_closing = false;                // all commands are answered and the write side is shut down
@@ -254,6 +258,7 @@
     void reject_connection(std::uint64_t id, Client& client, const char* line);
     void check_clients();
     void close_longest_idle(double now);
+    static std::size_t unread_response_bytes(const Client& client);
     void check_timeouts(std::uint64_t id, Client& client, double now);
     void close_if_done(std::uint64_t id, Client& client);
     CloseFacts close_facts(const Client& client) const;
--- a/src/io/tcp_connection.cpp
+++ b/src/io/tcp_connection.cpp
@@ -357,9 +357,12 @@
     on_event_(Event::closed);
 }
 
-bool TcpConnection::has_unacknowledged_output() const {
+std::size_t TcpConnection::unacknowledged_bytes() const {
     int bytes = 0;
-    return socket_ != nullptr && ioctl(g_socket_get_fd(socket_.get()), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    if (socket_ == nullptr || ioctl(g_socket_get_fd(socket_.get()), SIOCOUTQ, &bytes) != 0) return 0;
+    const bool is_write_side_shut_down = is_shutting_down_write_ && output_.empty();
+    if (is_write_side_shut_down) --bytes;  // the kernel counts the end of the output as a byte
+    return static_cast<std::size_t>(std::max(bytes, 0));
 }
 
 // After an ordinary close the kernel retransmits unacknowledged data for minutes. After a network partition a
--- a/src/io/tcp_connection.h
+++ b/src/io/tcp_connection.h
@@ -92,8 +92,10 @@
     bool is_idle() const;
     /// Returns whether the peer closed and all its data was received. False after a reset.
     bool ended_cleanly() const { return ended_cleanly_; }
-    /// Returns whether the peer's host has not yet acknowledged all output that was written to the kernel.
-    bool has_unacknowledged_output() const;
+    /// Returns how much of the output that was written to the kernel the peer's host has not yet
+    /// acknowledged.
+    std::size_t unacknowledged_bytes() const;
+    bool has_unacknowledged_output() const { return unacknowledged_bytes() > 0; }
     /// Returns whether the peer has closed or reset the connection, even if unread input precedes the close.
     bool peer_has_closed() const;
     bool is_read_buffer_full() const { return input_.size() - consumed_ >= read_limit_; }
--- a/src/proxy/graceful_shutdown.cpp
+++ b/src/proxy/graceful_shutdown.cpp
@@ -16,7 +16,7 @@
 // this node for some time.
 constexpr double kFrontProxyDelay = 0.5;
 // Seconds without a command after which the clients count as gone; also the time after fail_requests_at_ at
-// which the process ends if it has not ended before.
+// which clients are no longer waited for.
 constexpr double kQuietTime = 0.5;
 constexpr double kMaxKillDelay = 3.0;  // s; longer client timeouts do not delay the kill further
 // Seconds after min(longest client timeout, kMaxKillDelay) at which open requests fail; 0.3 s before the
@@ -42,11 +42,11 @@
 
 double GracefulShutdown::quiet_from(double now) { return now - kQuietTime; }
 
-GracefulShutdown::Step GracefulShutdown::next_step(double now, bool clients_are_gone,
-                                                   bool has_open_requests) const {
-    if (clients_are_gone && !has_open_requests) return Step::finish;
-    if (now >= fail_requests_at_ && has_open_requests) return Step::fail_open_requests;
-    return now >= fail_requests_at_ + kQuietTime ? Step::finish : Step::wait;
+GracefulShutdown::Step GracefulShutdown::next_step(double now, const Work& work) const {
+    if (work.has_open_requests) return is_kill_near(now) ? Step::fail_open_requests : Step::wait;
+    if (work.has_undelivered_responses) return Step::wait;
+    const bool waits_for_clients = work.has_clients && now < fail_requests_at_ + kQuietTime;
+    return waits_for_clients ? Step::wait : Step::finish;
 }
 
 }  // namespace brookrelay
--- a/src/proxy/graceful_shutdown.h
+++ b/src/proxy/graceful_shutdown.h
@@ -12,6 +12,13 @@
         fail_open_requests,  // the kill is near: respond to all open requests with an error
         finish,              // end the process
     };
+    /// What the node still has to do.
+    struct Work {
+        bool has_clients = false;        // a client may still send a command
+        bool has_open_requests = false;  // a request has no response yet
+        // A response has begun, or is complete, and has not reached its client.
+        bool has_undelivered_responses = false;
+    };
     static constexpr double kCheckInterval = 0.05;  // s
 
     /// `now` is the earliest time at which the signal may have arrived, because the time until the kill
@@ -29,8 +36,11 @@
     bool has_front_moved_away(double now) const;
     /// The clients count as gone at `now` if none has sent a command since the returned time.
     static double quiet_from(double now);
-    /// `clients_are_gone`: whether all client connections are closed or count as gone.
-    Step next_step(double now, bool clients_are_gone, bool has_open_requests) const;
+    /// Whether the kill may come too soon for a request that arrives now.
+    bool is_kill_near(double now) const { return has_begun() && now >= fail_requests_at_; }
+    /// The process does not end while responses are delivered, even after the time at which the kill may
+    /// come: the platform may wait longer, and a process that ends earlier would truncate them.
+    Step next_step(double now, const Work& work) const;
 
   private:
     double began_at_ = 0;
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -424,6 +424,8 @@
 int Node::on_command(const ClientConnections::RequestHandle& client, Command&& command, double received_at) {
     const int operation = index_of(config_.names.operations, command.attributes.operation);
     const bool is_full = config_.max_open_requests > 0 && requests_.open_count() >= config_.max_open_requests;
+    // Nothing of it has been sent, so its client can safely retry it at another node.
+    const bool is_too_late = shutdown_.is_kill_near(monotonic_now());
     // Servers distinguish requests only by id: with a duplicate id, the response to one client's request
     // could be sent to the other client.
     const bool is_duplicate_id = requests_.is_id_open(command.id);
@@ -432,7 +434,7 @@
     if (may_have_run)
         log_.line(Topic::node, "repeated_id",
                   "request " + command.id + " may have run before: not sent again");
-    if (operation < 0 || is_duplicate_id || may_have_run || is_full) {
+    if (operation < 0 || is_duplicate_id || may_have_run || is_full || is_too_late) {
         // The request is rejected here and is not passed to the balancer.
         const std::string text = operation < 0     ? "CLIENT_ERROR unknown operation\r\n"
                                  : may_have_run    ? kFailedReply
@@ -1046,8 +1048,11 @@
         has_shared_listener_
             ? clients_.empty()
             : shutdown_.has_front_moved_away(now) && clients_.idle_since(GracefulShutdown::quiet_from(now));
-    switch (shutdown_.next_step(now, clients_are_gone, requests_.open_count() > 0)) {
+    const GracefulShutdown::Work work{!clients_are_gone, requests_.open_count() > 0,
+                                      clients_.has_undelivered_responses()};
+    switch (shutdown_.next_step(now, work)) {
         case GracefulShutdown::Step::wait:
+            if (work.has_undelivered_responses && shutdown_.is_kill_near(now)) log_late_responses();
             break;
         case GracefulShutdown::Step::fail_open_requests:
             fail_open_requests();
@@ -1059,6 +1064,12 @@
     timers_.schedule(now + GracefulShutdown::kCheckInterval, [this] { check_shutdown(); });
 }
 
+void Node::log_late_responses() {
+    if (std::exchange(has_logged_late_responses_, true)) return;
+    log_.line(Topic::node, "delivers_before_end",
+              "responses are still being delivered: this process ends after them, or when it is killed");
+}
+
 void Node::fail_open_requests() {
     log_.line(Topic::node, "errored_before_kill",
               std::to_string(requests_.open_count()) +
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -123,6 +123,7 @@
     IterationWork total_work() const;
     void check_shutdown();
     void fail_open_requests();
+    void log_late_responses();
     void handle_admin_request(std::uint64_t caller, const HttpRequest& http_request);
     void change_server_state(std::uint64_t caller, const std::string& name, bool drain);
     void change_zone_state(std::uint64_t caller, const std::string& name, bool drain);
@@ -179,6 +180,7 @@
     TimerQueue::Handle opening_timer_;
     SocketRef pending_listener_;  // the bound listener until the node accepts clients, then null
     GracefulShutdown shutdown_;
+    bool has_logged_late_responses_ = false;
     bool done_ = false;
     bool accepts_clients_ = false;
     bool has_shared_listener_ = false;  // the listener is shared with other processes of this node
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -113,13 +113,15 @@
 
 // ---- the schedule of a shutdown --------------------------------------------------------------------------
 
+constexpr GracefulShutdown::Work kOpenRequests{.has_clients = true, .has_open_requests = true};
+
 // The kill comes min(longest client timeout, 3 s) + 0.7 s after the signal.
 TEST(ShutdownTimes, OpenRequestsFailBeforeTheKillForEachTimeout) {
     for (const double timeout : {0.2, 1.0, 9.0}) {
         GracefulShutdown shutdown;
         shutdown.begin(100, timeout, false);
         const double kill = 100 + std::min(timeout, 3.0) + 0.7;
-        EXPECT_EQ(shutdown.next_step(kill - 0.2, false, true), GracefulShutdown::Step::fail_open_requests);
+        EXPECT_EQ(shutdown.next_step(kill - 0.2, kOpenRequests), GracefulShutdown::Step::fail_open_requests);
         EXPECT_LT(shutdown.closes_at(), kill - 0.3);
     }
 }
@@ -127,11 +129,27 @@
 TEST(ShutdownTimes, AShorterTimeoutAfterAReloadCountsFromTheSignal) {
     GracefulShutdown shutdown;
     shutdown.begin(100, 3.0, false);
-    EXPECT_EQ(shutdown.next_step(100.7, false, true), GracefulShutdown::Step::wait);
+    EXPECT_EQ(shutdown.next_step(100.7, kOpenRequests), GracefulShutdown::Step::wait);
     shutdown.on_configuration(0.2);
-    EXPECT_EQ(shutdown.next_step(100.7, false, true), GracefulShutdown::Step::fail_open_requests);
+    EXPECT_EQ(shutdown.next_step(100.7, kOpenRequests), GracefulShutdown::Step::fail_open_requests);
     shutdown.on_configuration(3.0);  // a longer timeout does not certainly delay the kill
-    EXPECT_EQ(shutdown.next_step(100.7, false, true), GracefulShutdown::Step::fail_open_requests);
+    EXPECT_EQ(shutdown.next_step(100.7, kOpenRequests), GracefulShutdown::Step::fail_open_requests);
+}
+
+// Guards against a process that ends by itself, and truncates the values that it is sending.
+TEST(ShutdownTimes, NoEndBeforeTheResponsesAreDelivered) {
+    constexpr double kLongAfterTheKill = 160;  // s
+    for (const bool has_shared_listener : {false, true}) {
+        GracefulShutdown shutdown;
+        shutdown.begin(100, 3.0, has_shared_listener);
+        for (const bool has_clients : {false, true}) {
+            const GracefulShutdown::Work delivering{.has_clients = has_clients,
+                                                    .has_undelivered_responses = true};
+            EXPECT_EQ(shutdown.next_step(kLongAfterTheKill, delivering), GracefulShutdown::Step::wait);
+            EXPECT_EQ(shutdown.next_step(kLongAfterTheKill, {.has_clients = has_clients}),
+                      GracefulShutdown::Step::finish);
+        }
+    }
 }
 
 }  // namespace
