Nothing is sent for a client whose close could be hidden behind its input

Cause: a close follows all that the client has sent. The node receives 1 MiB behind open commands (update_read_ahead), and less while buffers are half full or a long write waits for memory. Behind more, the client's kernel keeps the close, peer_has_closed() cannot see it, and check_send() took that for a client that is there. It showed once an answer was written.

Change: CloseVisibility keeps since when a close could have been hidden. The guard refuses attempts once that is 0.08 s (close_hidden); a request that is read then waits until the close would be seen. So that this is seldom, 4 MiB (a quarter of the buffers at most) are received behind open commands, up to 1 MiB in an iteration, and while earlier requests are not yet sent, those behind it are answered `busy` and discarded. A long write then waits for memory for 0.03 s. What of an attempt has not arrived is taken back.

Why it works: an attempt needs proof that its client was there 0.08 s ago at most, in place of a close that was not seen, and the wait for space no longer keeps that proof away.

SentDeadline.ExcludesTimeSpentInTheKernelOfTheClient sends four times as much: 1.5 MB no longer waits in the kernel, and the test would have checked nothing.

--- a/src/downstream/accepting.cpp
+++ b/src/downstream/accepting.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kMaxAcceptsPerIteration = 64;
+// Limits what is received of one client before the others have their turn.
+constexpr std::size_t kMaxChunksPerIteration = 16;
 // Failed accepts of one iteration after which accepting is paused. A failure may concern only the connection
 // that was to be accepted.
 constexpr int kMaxAcceptFailures = 4;
@@ -65,6 +67,7 @@
     client.connection = std::make_unique<TcpConnection>(
         std::move(socket), limits_.read_limit, budget_,
         [this, id, &client](TcpConnection::Event event) { on_event(id, client, event); });
+    client.connection->set_chunks_per_iteration(kMaxChunksPerIteration);
 }
 
 // Returns whether another connection may be accepted. If necessary, closes one that gives way.
@@ -144,8 +147,7 @@
     Command command;
     ValuePosition value;
     const std::size_t command_bytes = parse_command(client.connection->input(), command, value);
-    const bool is_request = command.kind == Command::Kind::read || command.kind == Command::Kind::write;
-    if (command_bytes == 0 || !is_request) return ReserveDecision::handle;
+    if (command_bytes == 0 || !is_request(command)) return ReserveDecision::handle;
     if (client.waiting_in_reserve_since == 0) begin_wait_in_reserve(client, command);
     if (!client.must_leave_reserve && claim_regular_connection(client)) {
         client.waiting_in_reserve_since = 0;
@@ -170,13 +172,7 @@
 void ClientConnections::refuse_in_reserve(Client& client, std::size_t command_bytes) {
     log_.line(Topic::client, "refused_in_reserve", "request rejected: all client connections are in use");
     ++refused_in_reserve_;
-    ++commands_read_;
-    last_command_at_ = monotonic_now();
-    client.connection->consume(command_bytes);
-    (void)take_arrival_time(client, client.arrival_times.on_consumed(command_bytes));
-    if (client.reserved_bytes > 0) client.connection->set_read_limit(limits_.read_limit);
-    release_reservation(client);
-    refuse_command(client);
+    refuse_received_command(client, command_bytes);
 }
 
 // Makes the longest waiting client of the reserve give way, if one has had its time: its requests are
--- a/src/downstream/client_connections.cpp
+++ b/src/downstream/client_connections.cpp
@@ -28,7 +28,9 @@
 
 ClientConnections::ClientConnections(TimerQueue& timers, Log& log, ViolationCounter& violations,
                                      const Limits& limits, OnCommand on_command,
-                                     OnClientClosed on_client_closed, StreamCallbacks stream_callbacks)
+                                     OnClientClosed on_client_closed,
+                                     HiddenCloseCallbacks hidden_close_callbacks,
+                                     StreamCallbacks stream_callbacks)
     : timers_(timers),
       log_(log),
       violations_(violations),
@@ -36,6 +38,7 @@
       budget_{limits.bytes},
       on_command_(std::move(on_command)),
       on_client_closed_(std::move(on_client_closed)),
+      hidden_close_callbacks_(std::move(hidden_close_callbacks)),
       stream_callbacks_(std::move(stream_callbacks)),
       long_write_memory_(limits.bytes / kReservedShareDivisor),
       listener_(timers, G_PRIORITY_DEFAULT, [this] { accept_connections(); }),
@@ -104,6 +107,7 @@
     }
     if (client.is_reading_stopped) discard_input(client);
     update_read_ahead(client);
+    refuse_commands_without_space(id, client);
     write_responses(client);
 }
 
@@ -121,6 +125,10 @@
         client.pause_reason = PauseReason::value_memory_limit;
         return false;
     }
+    if (is_request(command) && close_hidden_for(client, monotonic_now()) > kMaxCloseHidden) {
+        client.pause_reason = PauseReason::close_hidden;
+        return false;
+    }
     const std::size_t command_bytes = memory_of(command) + value.length;
     const bool is_accepted = has_memory_for(client, command_bytes);
     if (is_accepted) {
@@ -148,7 +156,7 @@
     response.command_bytes = command_bytes;
     budget_.used += command_bytes;
     ++unanswered_commands_;
-    if (command.kind != Command::Kind::hello && command.kind != Command::Kind::malformed) {
+    if (is_request(command)) {
         response.request = on_command_({id, client.first_command + client.pending.size() - 1},
                                        std::move(command), received_at);
         return;
@@ -201,8 +209,10 @@
     const double now = monotonic_now();
     revoke_stalled_reservations(now);
     for (auto& [id, client] : clients_) {
-        if (!client.connection->is_closed() && client.pause_reason == PauseReason::value_memory_limit)
-            read_commands(id, client);
+        const bool is_waiting = client.pause_reason == PauseReason::value_memory_limit ||
+                                client.pause_reason == PauseReason::close_hidden;
+        if (!client.connection->is_closed() && is_waiting) read_commands(id, client);
+        if (!client.connection->is_closed()) report_hidden_close(id, client, now);
         if (!client.connection->is_closed()) check_timeouts(id, client, now);
         if (is_shutting_down_ && !client.connection->is_closed()) close_if_done(id, client);
     }
@@ -346,7 +356,7 @@
         violations_.report(
             Violation::closed_while_in_use,
             "connection " + std::to_string(id) + " closed with reason " + std::string(name_of(reason)));
-    report_lost_commands(id, client, reason, client.pending.size());
+    report_lost_commands(id, client, reason, unanswered_commands(client));
     ++closed_counts_[static_cast<std::size_t>(reason)];
     timers_.cancel(client.linger_timer);
     client.connection->close();
@@ -370,9 +380,10 @@
     release_reservation(client);
     for (std::size_t i = 0; i < client.pending.size(); ++i) {
         release_memory(client.pending[i]);
+        release_refusals(client, client.pending[i]);
         if (client.pending[i].stream != 0) {
             stream_callbacks_.on_abandoned(client.pending[i].stream);
-        } else if (!client.pending[i].is_ready && client.pending[i].request != kNoRequest) {
+        } else if (is_open_request(client.pending[i])) {
             on_client_closed_({id, client.first_command + i}, client.pending[i].request);
         }
     }
--- a/src/downstream/client_connections.h
+++ b/src/downstream/client_connections.h
@@ -29,6 +29,7 @@
 #include "downstream/turn_budget.h"
 #include "downstream/value_skipper.h"
 #include "guard/close_guard.h"
+#include "guard/send_guard.h"
 #include "guard/violations.h"
 #include "io/listener.h"
 #include "io/log.h"
@@ -55,6 +56,14 @@
     using OnCommand = std::function<int(RequestHandle, Command&&, double received_at)>;
     /// Called after a client connection has closed, once for each of its requests that has no response.
     using OnClientClosed = std::function<void(RequestHandle, int request)>;
+    /// What is asked and told about a client whose close could not be seen. `is_unsent`: whether something of
+    /// the request may still be sent to a server. `on_hidden`: called repeatedly once the close has been
+    /// hidden for longer than kMaxCloseHidden, for each request without a response; what of it has not
+    /// arrived at a server must not arrive any more.
+    struct HiddenCloseCallbacks {
+        std::function<bool(int request)> is_unsent;
+        std::function<void(RequestHandle, int request)> on_hidden;
+    };
     /// Events of streamed responses. `on_writable`: more of the body may be written. `on_abandoned`: the rest
     /// of the body is no longer needed.
     struct StreamCallbacks {
@@ -72,7 +81,7 @@
     /// `timers`, `log` and `violations` must outlive this object.
     ClientConnections(TimerQueue& timers, Log& log, ViolationCounter& violations, const Limits& limits,
                       OnCommand on_command, OnClientClosed on_client_closed,
-                      StreamCallbacks stream_callbacks);
+                      HiddenCloseCallbacks hidden_close_callbacks, StreamCallbacks stream_callbacks);
     ClientConnections(const ClientConnections&) = delete;
     ClientConnections& operator=(const ClientConnections&) = delete;
 
@@ -109,6 +118,9 @@
     /// Returns whether the client has closed its connection, even if unread input precedes the close. If so,
     /// closes the connection on this side.
     bool close_if_client_closed(const RequestHandle& handle);
+    /// Returns for how long, in seconds, a close by the client could not have been seen, because input before
+    /// it is not received.
+    double close_hidden_for(const RequestHandle& handle) const;
     bool empty() const { return slots_.open() == 0; }
     /// Returns how many connections were closed for `reason`.
     std::uint64_t closed_count(CloseReason reason) const {
@@ -155,7 +167,12 @@
         std::size_t unfilled_bytes = 0;  // bytes counted in the budget that a buffered response still lacks
         std::size_t reserved_bytes = 0;  // bytes reserved for the command's value
         std::size_t command_bytes = 0;   // bytes of the command, counted in the budget
+        std::size_t refused_behind = 0;  // refused commands between this one and the next one
     };
+    /// Whether attempts may still be made for the command.
+    static bool is_open_request(const PendingResponse& response) {
+        return !response.is_ready && response.stream == 0 && response.request != kNoRequest;
+    }
     /// Why reading is paused although the input may hold a complete command, and what resumes it.
     enum class PauseReason {
         none,
@@ -168,6 +185,8 @@
         value_memory_limit,
         // its connection is in the reserve; resumed by serve_reserve(), which refuses the command in time
         connection_limit,
+        // its close could not have been seen for too long; resumed by further input or by check_clients()
+        close_hidden,
     };
     /// How long the command at the start of the input has waited for memory.
     struct MemoryWait {
@@ -190,6 +209,7 @@
         TimerQueue::Handle linger_timer;
         std::size_t reserved_bytes = 0;  // bytes reserved for the long value being received
         MemoryWait memory_wait;
+        std::size_t waiting_refusals = 0;           // the sum of all PendingResponse::refused_behind
         std::optional<ValueSkipper> skipped_value;  // of a refused command, while it is being received
         PauseReason pause_reason = PauseReason::none;
         bool is_queued_for_turn = false;  // in clients_waiting_for_turn_
@@ -263,6 +283,19 @@
     void close_if_done(std::uint64_t id, Client& client);
     CloseFacts close_facts(const Client& client) const;
     static void stop_reading(Client& client, CloseReason reason);
+    static double close_hidden_for(const Client& client, double now);
+    void report_hidden_close(std::uint64_t id, const Client& client, double now);
+    bool must_see_close(const Client& client) const;
+    void refuse_commands_without_space(std::uint64_t id, Client& client);
+    bool refuse_next_command(std::uint64_t id, Client& client);
+    void refuse_received_command(Client& client, std::size_t command_bytes);
+    static void append_refusals(const PendingResponse& response, std::string& text);
+    void release_refusals(Client& client, PendingResponse& response);
+    static std::size_t unanswered_commands(const Client& client);
+    static const std::string& refusal_line();
+    static bool is_request(const Command& command) {
+        return command.kind == Command::Kind::read || command.kind == Command::Kind::write;
+    }
     void report_lost_commands(std::uint64_t id, const Client& client, CloseReason reason,
                               std::size_t unanswered);
     void close_gracefully(std::uint64_t id, Client& client, CloseReason reason);
@@ -277,6 +310,7 @@
     ByteBudget budget_;
     OnCommand on_command_;
     OnClientClosed on_client_closed_;
+    HiddenCloseCallbacks hidden_close_callbacks_;
     StreamCallbacks stream_callbacks_;
     LongWriteMemory long_write_memory_;
     Listener listener_;
--- a/src/downstream/long_writes.cpp
+++ b/src/downstream/long_writes.cpp
@@ -13,6 +13,9 @@
 constexpr double kReservationStallSeconds = 0.25;
 // A long write waits for memory for this fraction of its time, so that its client can still try elsewhere.
 constexpr double kMaxMemoryWaitFraction = 0.5;
+// A long write waits no longer than this while earlier requests of its client are not yet sent, because a
+// close behind its value cannot be seen, and they would be refused.
+constexpr double kMaxMemoryWaitBehindRequestsSeconds = 0.03;
 // Shorter commands are accepted while the byte budget is exceeded. Their number is limited.
 constexpr std::size_t kMaxSmallCommandBytes = 512;
 
@@ -75,7 +78,10 @@
     const WriteHeader header = parse_write_header(client.connection->input());
     const double max_wait =
         header.time_remaining > 0 ? kMaxMemoryWaitFraction * header.time_remaining : kSilenceTimeoutSeconds;
-    const double waited = wait.waited + monotonic_now() - wait.waiting_since;
+    const double now = monotonic_now();
+    if (close_hidden_for(client, now) >= kMaxMemoryWaitBehindRequestsSeconds && must_see_close(client))
+        return true;
+    const double waited = wait.waited + now - wait.waiting_since;
     return waited >= std::min(max_wait, kSilenceTimeoutSeconds);
 }
 
@@ -106,12 +112,6 @@
            budget_.used + command_bytes <= budget_.limit;
 }
 
-// Answers the command that was just removed from the input as rejected.
-void ClientConnections::refuse_command(Client& client) {
-    finish_response(client.pending.emplace_back(), format_busy(0));
-    ++unanswered_commands_;
-}
-
 // Discards the received part of a refused command's value. Returns whether the value has ended.
 bool ClientConnections::skip_value(std::uint64_t id, Client& client) {
     const ValueSkipper::Progress progress = client.skipped_value->skip(client.connection->input());
--- a/src/downstream/paused_reading.cpp
+++ b/src/downstream/paused_reading.cpp
@@ -13,9 +13,11 @@
 // connection limit.
 constexpr double kPipelinedCommandsFraction = 0.25;
 // Limits the input that is received behind the open commands of one client.
-constexpr std::size_t kMaxReadAheadBytes = std::size_t{1024} * 1024;
+constexpr std::size_t kMaxReadAheadBytes = std::size_t{4} * 1024 * 1024;
+// The part of the byte budget that the input behind the open commands of one client may occupy.
+constexpr std::size_t kReadAheadDivisor = 4;
 // The part of the byte budget up to which more than the ordinary input is received.
-constexpr std::size_t kReadAheadDivisor = 2;
+constexpr std::size_t kTotalReadAheadDivisor = 2;
 
 }  // namespace
 
@@ -56,14 +58,20 @@
 
 // Receives more input while commands of the client are open, so that its close, which follows the input, is
 // noticed before another attempt is made for them. The kernel reports a close only once it has received all
-// input before it.
+// input before it. What does not fit stays there, and hides a close: SendRefusal::close_hidden.
 void ClientConnections::update_read_ahead(Client& client) {
-    const bool has_command_waiting = client.pause_reason != PauseReason::none &&
-                                     client.pause_reason != PauseReason::value_memory_limit &&
-                                     !client.pending.empty();
-    if (client.reserved_bytes > 0 || client.skipped_value || client.connection->is_closed()) return;
-    const bool has_memory = budget_.used < budget_.limit / kReadAheadDivisor;
-    const std::size_t limit = has_command_waiting && has_memory ? kMaxReadAheadBytes : limits_.read_limit;
+    const bool is_behind_open_commands = client.pause_reason != PauseReason::none &&
+                                         client.pause_reason != PauseReason::value_memory_limit &&
+                                         !client.pending.empty();
+    const bool has_command_waiting =
+        is_behind_open_commands || client.pause_reason == PauseReason::close_hidden;
+    if (client.skipped_value || client.connection->is_closed()) return;
+    if (client.reserved_bytes > 0 && !has_command_waiting) return;  // reserve_long_value() has set the limit
+    const bool has_memory = budget_.used < budget_.limit / kTotalReadAheadDivisor;
+    const std::size_t read_ahead = std::min(kMaxReadAheadBytes, budget_.limit / kReadAheadDivisor);
+    const std::size_t ordinary_limit =
+        client.reserved_bytes > 0 ? client.reserved_bytes + 2 * kMaxLineBytes : limits_.read_limit;
+    const std::size_t limit = ordinary_limit + (has_command_waiting && has_memory ? read_ahead : 0);
     if (client.connection->read_limit() != limit) client.connection->set_read_limit(limit);
 }
 
--- a/src/downstream/responses.cpp
+++ b/src/downstream/responses.cpp
@@ -152,7 +152,7 @@
         response.is_ready = true;
         stop_reading(*client, CloseReason::broken_value);
         report_lost_commands(handle.connection, *client, CloseReason::broken_value,
-                             client->pending.size() - 1);
+                             unanswered_commands(*client) - 1);
         abandon_pending(handle.connection, *client);
         return close_if_done(handle.connection, *client);
     }
@@ -180,6 +180,8 @@
             break;
         }
         response_text.clear();
+        append_refusals(client.pending.front(), text);
+        release_refusals(client, client.pending.front());
         release_memory(client.pending.front());
         client.pending.pop_front();
         ++client.first_command;
--- a/src/guard/send_guard.cpp
+++ b/src/guard/send_guard.cpp
@@ -16,6 +16,7 @@
 SendRefusal check_send(const SendFacts& facts) {
     if (facts.answered) return SendRefusal::answered;
     if (facts.client_closed) return SendRefusal::client_closed;
+    if (facts.close_hidden_for > kMaxCloseHidden) return SendRefusal::close_hidden;
     if (facts.now >= facts.deadline) return SendRefusal::deadline_passed;
     if (!facts.server_ready) return SendRefusal::server_not_ready;
     return check_repeat(facts);
@@ -29,6 +30,8 @@
             return "answered";
         case SendRefusal::client_closed:
             return "client_closed";
+        case SendRefusal::close_hidden:
+            return "close_hidden";
         case SendRefusal::deadline_passed:
             return "deadline_passed";
         case SendRefusal::would_repeat:
--- a/src/io/tcp_connection.cpp
+++ b/src/io/tcp_connection.cpp
@@ -44,9 +44,13 @@
     return info.tcpi_last_data_recv / kMillisecondsPerSecond;
 }
 
-// Counts what the buffers occupy. The pages of a large buffer are occupied only once they are written to.
+// The pages of a buffer of this size are occupied only once they are written to.
+constexpr std::size_t kLargeBufferBytes = std::size_t{128} * 1024;
+// The part of a large buffer that is added to the read limit, so that what is consumed is seldom moved out.
+constexpr std::size_t kSpareDivisor = 4;
+
+// Counts what the buffers occupy.
 std::size_t occupied_bytes(const std::string& buffer) {
-    constexpr std::size_t kLargeBufferBytes = std::size_t{128} * 1024;
     const bool is_inside_object = buffer.capacity() <= std::string().capacity();
     if (is_inside_object) return 0;
     return buffer.capacity() >= kLargeBufferBytes ? buffer.size() : buffer.capacity();
@@ -99,15 +103,24 @@
 void TcpConnection::watch_input() {
     if (state_ != State::connected) return;
     if (is_read_buffer_full()) {
-        if (input_source_ != nullptr && reading_paused_at_ == 0)
-            reading_paused_at_ = held_input_.started_at = monotonic_now();
+        if (input_source_ != nullptr) on_reading_paused(monotonic_now());
         input_source_.reset();
     } else {
-        if (input_source_ == nullptr && reading_paused_at_ > 0) held_input_.resumed_at = monotonic_now();
+        if (input_source_ == nullptr && reading_paused_at_ > 0) on_reading_resumed(monotonic_now());
         watch(input_source_, G_IO_IN, &on_socket<&TcpConnection::receive>);
     }
 }
 
+void TcpConnection::on_reading_paused(double now) {
+    if (reading_paused_at_ == 0) reading_paused_at_ = held_input_.started_at = now;
+    close_visibility_.on_paused(now);
+}
+
+void TcpConnection::on_reading_resumed(double now) {
+    held_input_.resumed_at = now;
+    close_visibility_.on_resumed(now);
+}
+
 void TcpConnection::on_connected() {
     output_source_.reset();
     GError* error = nullptr;
@@ -206,11 +219,12 @@
 }
 
 void TcpConnection::receive() {
-    bool has_more = receive_chunk();
-    while (has_more && reads_until_empty_ && input_source_ != nullptr) has_more = receive_chunk();
+    for (std::size_t chunk = 0; chunk < chunks_per_iteration_; ++chunk) {
+        if (!receive_chunk() || input_source_ == nullptr) return;
+    }
 }
 
-// Returns whether a chunk was received, in which case more input may be available.
+// Returns whether a whole chunk was received, in which case more input may be available.
 bool TcpConnection::receive_chunk() {
     if (budget_.queued > budget_.queued_limit || is_read_buffer_full()) return false;
     // Reads into a buffer on the stack, because otherwise hundreds of idle connections would each keep a
@@ -227,13 +241,15 @@
         return false;
     }
     const auto bytes = static_cast<std::size_t>(count);
-    received_at_ = arrival_time_of_input(bytes, bytes == wanted);
+    const bool may_have_more = bytes == wanted;
+    received_at_ = arrival_time_of_input(bytes, may_have_more);
+    close_visibility_.on_received(monotonic_now(), may_have_more);
     make_space(bytes);
     input_.append(buffer.data(), bytes);
     update_budget();
     on_event_(Event::readable);
     watch_input();
-    return true;
+    return may_have_more;
 }
 
 // Makes space for `bytes` more input: first what is consumed is given up, then the buffer grows by doubling,
@@ -244,7 +260,8 @@
     const std::size_t needed = input_.size() + bytes;
     if (needed <= input_.capacity()) return;
     std::string larger;
-    larger.reserve(std::max(needed, std::min(2 * needed, read_limit_)));
+    const std::size_t spare = read_limit_ > kLargeBufferBytes ? read_limit_ / kSpareDivisor : 0;
+    larger.reserve(std::max(needed, std::min(2 * needed, read_limit_ + spare)));
     larger.append(input_);
     input_ = std::move(larger);
 }
@@ -297,14 +314,19 @@
     return ready > 0 && (poll_entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+double TcpConnection::close_hidden_since() {
+    if (state_ != State::connected || close_visibility_.is_visible()) return 0;
+    return close_visibility_.hidden_since(monotonic_now(), has_unreceived_input());
+}
+
 void TcpConnection::consume(std::size_t bytes) {
     consumed_ += bytes;
     if (consumed_ == input_.size()) {
         input_.clear();
         if (input_.capacity() > kMaxKeptBufferBytes) input_.shrink_to_fit();
         consumed_ = 0;
-    } else if (consumed_ > kReadChunkBytes) {
-        input_.erase(0, consumed_);
+    } else if (consumed_ > kReadChunkBytes && consumed_ >= input_.size() / 2) {
+        input_.erase(0, consumed_);  // moves no more than has been consumed
         consumed_ = 0;
     }
     update_budget();
--- a/src/io/tcp_connection.h
+++ b/src/io/tcp_connection.h
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "io/close_visibility.h"
 #include "io/glib_handles.h"
 #include "util/shared_bytes.h"
 
@@ -65,7 +66,9 @@
     void consume(std::size_t bytes);
     /// Receives everything that the kernel holds in one iteration of the main loop, with one event per chunk.
     /// By default one chunk is received per iteration.
-    void read_until_empty() { reads_until_empty_ = true; }
+    void read_until_empty() { chunks_per_iteration_ = std::numeric_limits<std::size_t>::max(); }
+    /// Limits what is received in one iteration of the main loop, in chunks of 64 KiB.
+    void set_chunks_per_iteration(std::size_t chunks) { chunks_per_iteration_ = chunks; }
     /// Removes `bytes` from the front of input() and returns `length` of them, from the position `begin` on.
     /// A long part is moved, not copied.
     std::string take(std::size_t bytes, std::size_t begin, std::size_t length);
@@ -97,7 +100,11 @@
     std::size_t unacknowledged_bytes() const;
     bool has_unacknowledged_output() const { return unacknowledged_bytes() > 0; }
     /// Returns whether the peer has closed or reset the connection, even if unread input precedes the close.
+    /// Not all closes are visible: see close_hidden_since().
     bool peer_has_closed() const;
+    /// Returns the time, in seconds on the monotonic clock, since which a close by the peer could be hidden
+    /// behind input that this host has no space for, or 0 if peer_has_closed() would report it.
+    double close_hidden_since();
     bool is_read_buffer_full() const { return input_.size() - consumed_ >= read_limit_; }
     bool is_connected() const { return state_ == State::connected; }
     bool is_closed() const { return state_ == State::closed; }
@@ -108,6 +115,8 @@
 
     void watch(GSourceRef& source, GIOCondition condition, OnSocket on_ready);
     void watch_input();
+    void on_reading_paused(double now);
+    void on_reading_resumed(double now);
     void flush();
     void compact_output();
     void append_output(std::string_view bytes);
@@ -161,7 +170,8 @@
     HeldInput held_input_;
     EventHandler on_event_;
     bool is_accepted_unread_ = false;  // accepted, and nothing is received yet
-    bool reads_until_empty_ = false;
+    std::size_t chunks_per_iteration_ = 1;
+    CloseVisibility close_visibility_;
     int priority_ = G_PRIORITY_DEFAULT;
 };
 
--- a/src/proxy/node.cpp
+++ b/src/proxy/node.cpp
@@ -48,6 +48,9 @@
 
 constexpr double kAdminStateInterval = 0.025;  // s between reloads of the state that sibling processes change
 
+// What a server's host may have received and not yet acknowledged, in bytes: a segment.
+constexpr std::size_t kMaxDelayedAcknowledgement = std::size_t{64} * 1024;
+
 constexpr double kListedRetryInterval = 1.0;  // s between retries of names that could not be written to disk
 
 constexpr double kWarmStartInterval = 0.25;  // s between saves of the warm-start file
@@ -153,6 +156,10 @@
           [this](const ClientConnections::RequestHandle& client, int request) {
               on_connection_closed(client, request);
           },
+          {[this](int request) { return is_unsent(request); },
+           [this](const ClientConnections::RequestHandle& client, int request) {
+               on_close_hidden(client, request);
+           }},
           {[this](std::uint64_t stream) { pool_.resume(stream); },
            [this](std::uint64_t stream) {
                streams_.erase(stream);
@@ -495,6 +502,27 @@
     });
 }
 
+// Whether an attempt for the request is yet to begin, or to be sent completely.
+bool Node::is_unsent(int request) const {
+    const ActiveRequest& active = requests_.at(request);
+    if (active.in_flight == 0) return true;
+    for (int attempt = 0; attempt < active.attempts; ++attempt) {
+        if (pool_.is_unsent(request, attempt, kMaxDelayedAcknowledgement)) return true;
+    }
+    return false;
+}
+
+// The client may be gone or not. Its request is still to be answered, so attempts that may have arrived go
+// on.
+void Node::on_close_hidden(const ClientConnections::RequestHandle& client, int request) {
+    event_queue_.emplace_back([this, client, request](double) {
+        const ActiveRequest& active = requests_.at(request);
+        if (active.client != client || active.answered || active.in_flight == 0) return;
+        action_queue_.emplace_back(
+            [this, request] { cancel_partially_sent(request, kMaxDelayedAcknowledgement); });
+    });
+}
+
 // Ends a request and tells the balancer that its client no longer waits for it.
 void Node::abandon_request(double now, int request, RequestEnd end) {
     finish(request, end);
@@ -696,6 +724,7 @@
     SendFacts facts;
     facts.answered = active.answered;
     facts.client_closed = clients_.close_if_client_closed(active.client);
+    facts.close_hidden_for = clients_.close_hidden_for(active.client);
     facts.server_ready = servers_.accepts_attempts(server);
     facts.now = monotonic_now();
     facts.deadline = active.deadline;
@@ -827,7 +856,8 @@
     requests_.close(request);
     timers_.cancel(active.expiry_timer);
     finished_requests_.push_back(request);
-    if (active.in_flight > 0) action_queue_.emplace_back([this, request] { cancel_partially_sent(request); });
+    if (active.in_flight > 0)
+        action_queue_.emplace_back([this, request] { cancel_partially_sent(request, 0); });
     metrics_.on_request_end(end);
     trace(TraceEvent::ended, request, RequestTrace::kNoAttempt, ServerTable::kUnknown, name_of(end));
     const bool is_served = end == RequestEnd::served || end == RequestEnd::streamed;
@@ -845,12 +875,13 @@
                   server == ServerTable::kUnknown ? std::string_view() : servers_.at(server).name, detail);
 }
 
-// The request has been answered or its client is gone, so attempts that have not begun to run must not begin.
-void Node::cancel_partially_sent(int request) {
+// The request has been answered or its client is or may be gone, so attempts that have not begun to run must
+// not begin.
+void Node::cancel_partially_sent(int request, std::size_t tolerated_bytes) {
     const int attempts = requests_.at(request).attempts;
     const bool may_cancel = config_.deployment.may_cancel;
     for (int attempt = 0; attempt < attempts; ++attempt)
-        pool_.cancel_partially_sent(request, attempt, may_cancel);
+        pool_.cancel_partially_sent(request, attempt, may_cancel, tolerated_bytes);
 }
 
 // ---- the admin interface -----------------------------------------------------------------------------
--- a/src/proxy/node.h
+++ b/src/proxy/node.h
@@ -99,6 +99,8 @@
     double arrival_time();
     int on_command(const ClientConnections::RequestHandle& client, Command&& command, double received_at);
     void on_connection_closed(const ClientConnections::RequestHandle& client, int request);
+    bool is_unsent(int request) const;
+    void on_close_hidden(const ClientConnections::RequestHandle& client, int request);
     bool has_effect(int operation) const;
     void start_request(double now, int request, int operation);
     void on_attempt_finished(double now, UpstreamPool::AttemptResult& result);
@@ -115,7 +117,7 @@
     void send_attempt(int request, int attempt, int server, double limit);
     void send_on_connection(int request, int attempt, int server);
     void on_attempt_write(int request, int attempt, int server, double time_left);
-    void cancel_partially_sent(int request);
+    void cancel_partially_sent(int request, std::size_t tolerated_bytes);
     void respond(int request, std::string text);
     void finish(int request, RequestEnd end);
     void trace(TraceEvent event, int request, int attempt, int server, std::string_view detail);
--- a/src/proxy/request_table.h
+++ b/src/proxy/request_table.h
@@ -41,6 +41,7 @@
     void release(int number);
 
     ActiveRequest& at(int number) { return slots_[static_cast<std::size_t>(number)]; }
+    const ActiveRequest& at(int number) const { return slots_[static_cast<std::size_t>(number)]; }
     int open_count() const { return open_count_; }
     bool is_id_open(const std::string& id) const { return open_ids_.contains(id); }
     /// The numbers of all open requests, in ascending order.
--- a/src/upstream/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -318,15 +318,23 @@
     close(connection);
 }
 
+bool UpstreamPool::is_unsent(int request, int attempt, std::size_t tolerated_bytes) const {
+    const auto entry = in_flight_.find(attempt_key(request, attempt));
+    if (entry == in_flight_.end()) return false;
+    const Connection& connection = *entry->second;
+    return !is_fully_sent(connection) || connection.socket->unacknowledged_bytes() > tolerated_bytes;
+}
+
 // A server starts to execute a request when its last byte arrives. A request that is fully written but not
 // acknowledged may still be in transit.
-void UpstreamPool::cancel_partially_sent(int request, int attempt, bool may_cancel) {
+void UpstreamPool::cancel_partially_sent(int request, int attempt, bool may_cancel,
+                                         std::size_t tolerated_bytes) {
     const auto entry = in_flight_.find(attempt_key(request, attempt));
     if (entry == in_flight_.end()) return;
     Connection& connection = *entry->second;
     const bool is_sent = is_fully_sent(connection);
     if (!connection.is_written) return;
-    if (is_sent && (!may_cancel || !connection.socket->has_unacknowledged_output())) return;
+    if (is_sent && (!may_cancel || connection.socket->unacknowledged_bytes() <= tolerated_bytes)) return;
     finish_attempt(connection, is_sent ? AttemptOutcome::cancelled : AttemptOutcome::not_sent);
     close(connection);
 }
--- a/src/upstream/upstream_pool.h
+++ b/src/upstream/upstream_pool.h
@@ -112,10 +112,13 @@
     void abandon(int request, int attempt);
     /// Ends an attempt and closes its connection. Does nothing if the attempt has already ended.
     void cancel(int request, int attempt);
+    /// Returns whether the attempt waits for its connection, is only partly written to it, or is written and
+    /// more than `tolerated_bytes` of it are not acknowledged.
+    bool is_unsent(int request, int attempt, std::size_t tolerated_bytes) const;
     /// Cancels an attempt whose request is only partly written, so that it cannot execute later. A request
-    /// that is fully written but not acknowledged may be executing: it is cancelled only if `may_cancel`.
-    /// Does nothing to other attempts.
-    void cancel_partially_sent(int request, int attempt, bool may_cancel);
+    /// that is fully written but not acknowledged may be executing: it is cancelled only if `may_cancel`, and
+    /// if more than `tolerated_bytes` of it are not acknowledged. Does nothing to other attempts.
+    void cancel_partially_sent(int request, int attempt, bool may_cancel, std::size_t tolerated_bytes = 0);
     /// Continues a stream whose sink had no capacity.
     void resume(std::uint64_t stream);
     /// Closes the connection of a stream whose remaining body is not needed. BodySink::end is not called.
--- a/tests/client_connections_test.cpp
+++ b/tests/client_connections_test.cpp
@@ -8,6 +8,7 @@
 #include "downstream/long_write_memory.h"
 #include "downstream/value_skipper.h"
 #include "fleet.h"
+#include "io/close_visibility.h"
 
 namespace {
 
@@ -19,6 +20,15 @@
     return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
 }
 
+std::string write_header(const std::string& id, std::size_t bytes, int ms) {
+    return "ms " + id + " " + std::to_string(bytes) + " O" + id + " Pc=put,d=" + std::to_string(ms) +
+           ",k=" + id + "\r\n";
+}
+
+std::string whole_write(const std::string& id, std::size_t bytes, int ms) {
+    return write_header(id, bytes, ms) + std::string(bytes, 'v') + "\r\n";
+}
+
 // ---- paused reading --------------------------------------------------------------------------------------
 
 // When the total of unanswered commands is at its limit, further pipelined commands remain unread. They must
@@ -57,6 +67,58 @@
     EXPECT_FALSE(fleet.logged("incomplete command"));
 }
 
+// Guards against a client whose pipeline exceeds what the node can hold, and which loses the service for what
+// was read before: only what there is no space for is refused.
+TEST(PausedReading, OfALongPipelineServesWhatWasReadFirst) {
+    constexpr int kWrites = 400, kReadFirst = 32;
+    Fleet fleet(1);
+    fleet.origin.set_script([](const std::string&) {
+        std::this_thread::sleep_for(50 * kMillisecond);
+        return ScriptedResponse{http("made")};
+    });
+    TestSocket client(own_loopback(), fleet.port());
+    std::thread sender([&client] {
+        std::string text;
+        for (int n = 0; n < kWrites; ++n) text += whole_write("w" + std::to_string(n), 60'000, 20'000);
+        client.send(text);
+    });
+    int served = 0, refused = 0;
+    for (int n = 0; n < kWrites; ++n) {
+        const std::string line = client.until("\r\n");
+        const bool is_served = line == "HD Ow" + std::to_string(n) + " cmade\r\n";
+        ++(is_served ? served : refused);
+        EXPECT_TRUE(is_served || (n >= kReadFirst && line == "SERVER_ERROR busy\r\n")) << n << ": " << line;
+    }
+    sender.join();
+    std::printf("%d served, %d refused\n", served, refused);
+    EXPECT_EQ(fleet.ask("mn\r\n"), "MN\r\n");
+}
+
+TEST(CloseVisibility, EndsWhereInputMayWaitInTheKernel) {
+    using brookrelay::CloseVisibility;
+    CloseVisibility visibility;
+    visibility.on_received(100, false);
+    EXPECT_EQ(visibility.hidden_since(101, true), 0);  // what came since is received in this iteration
+    visibility.on_received(102, true);
+    visibility.on_received(103, true);
+    EXPECT_EQ(visibility.hidden_since(104, true), 102);
+    visibility.on_received(105, false);
+    EXPECT_EQ(visibility.hidden_since(106, true), 0);
+}
+
+TEST(CloseVisibility, OfAPausedConnectionLastsWhileNothingArrives) {
+    using brookrelay::CloseVisibility;
+    CloseVisibility visibility;
+    visibility.on_paused(100);
+    EXPECT_EQ(visibility.hidden_since(101, false), 0);
+    EXPECT_EQ(visibility.hidden_since(102, true), 101);
+    visibility.on_resumed(103);
+    visibility.on_received(103, true);
+    visibility.on_received(103.001, false);
+    EXPECT_EQ(visibility.hidden_since(103.002, false), 101);  // the peer's kernel may be about to send more
+    EXPECT_EQ(visibility.hidden_since(103.1, false), 0);
+}
+
 // ---- incomplete commands ---------------------------------------------------------------------------------
 
 // A client that stops inside a command must receive its error within this time.
@@ -113,15 +175,6 @@
 constexpr std::size_t kLargestWriteBytes = 4'000'000;
 constexpr std::size_t kLongWriteBytes = 300'000;
 
-std::string write_header(const std::string& id, std::size_t bytes, int ms) {
-    return "ms " + id + " " + std::to_string(bytes) + " O" + id + " Pc=put,d=" + std::to_string(ms) +
-           ",k=" + id + "\r\n";
-}
-
-std::string whole_write(const std::string& id, std::size_t bytes, int ms) {
-    return write_header(id, bytes, ms) + std::string(bytes, 'v') + "\r\n";
-}
-
 // The time that the write `id` told the origin, in seconds, or -1 if it did not come there.
 double told_time(Fleet& fleet, const std::string& id) {
     for (const std::string& message : fleet.origin.received_messages()) {
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <mutex>
 
 #include "fleet.h"
 #include "testkit/crowd.h"
@@ -235,6 +236,128 @@
         static_cast<std::ptrdiff_t>(before));
 }
 
+// An attempt that begins so much later than its client's close is a break: 0.1 s, and 0.05 s of slack.
+constexpr double kLatestAttemptAfterClose = 0.15;
+
+std::string write_of(const std::string& id, std::size_t bytes) {
+    return "ms " + id + " " + std::to_string(bytes) + " O" + id + " Pc=put,d=60000,k=" + id + "\r\n" +
+           std::string(bytes, 'v') + "\r\n";
+}
+
+std::string writes_of(const std::string& prefix, int count, std::size_t bytes) {
+    std::string text;
+    for (int n = 0; n < count; ++n) text += write_of(prefix + std::to_string(n), bytes);
+    return text;
+}
+
+// An origin that records when each request begins there. The write s1 takes so long that no answer behind it
+// is written, which would show the node that the client's host has closed the connection.
+class RecordingOrigin {
+  public:
+    explicit RecordingOrigin(ScriptedPeer& origin) {
+        origin.set_script([this](const std::string& message) {
+            {
+                const std::lock_guard lock(mutex_);
+                begun_at_.push_back(now_seconds());
+            }
+            const bool is_slow = message.find("X-Trace-Id: s1\r\n") != std::string::npos;
+            std::this_thread::sleep_for(std::chrono::milliseconds(is_slow ? 900 : 80));
+            return ScriptedResponse{http("made")};
+        });
+    }
+    std::vector<double> begun_at() {
+        const std::lock_guard lock(mutex_);
+        return begun_at_;
+    }
+
+  private:
+    std::mutex mutex_;
+    std::vector<double> begun_at_;
+};
+
+// Keeps all memory for long writes, with one that it does not end, until it is destroyed.
+class LongWriteHolder {
+  public:
+    explicit LongWriteHolder(int port) : line_(own_loopback(), port) {
+        line_.send("ms held 4000000 Oheld Pc=put,d=60000,k=held\r\n" + std::string(3'000'000, 'v'));
+        sender_ = std::thread([this] {
+            while (!is_stopping_) {
+                line_.send("v");
+                std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            }
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    ~LongWriteHolder() {
+        is_stopping_ = true;
+        sender_.join();
+    }
+
+  private:
+    TestSocket line_;
+    std::atomic<bool> is_stopping_{false};
+    std::thread sender_;
+};
+
+struct HiddenClose {
+    const char* name;
+    int memory_mb;
+    int short_writes;
+    std::size_t short_bytes;
+    int long_writes;  // behind the short ones, of 1 MB each, while another client has the memory for them
+    // Other clients that read none of the values they have asked for, and fill the buffers of the node by
+    // half.
+    int clients_that_do_not_read;
+};
+
+std::string reads_of_values(int client) {
+    std::string text;
+    for (int n = 0; n < 20; ++n)
+        text +=
+            read_of("k" + std::to_string(n), "r" + std::to_string(client) + "-" + std::to_string(n), 60000);
+    return text;
+}
+
+class CloseBehindUnreadInput : public testing::TestWithParam<HiddenClose> {};
+
+// Guards against writes that are sent to the origin although their client has gone: its close was hidden
+// behind input that the node had no space for.
+TEST_P(CloseBehindUnreadInput, EndsTheAttempts) {
+    const HiddenClose& c = GetParam();
+    NodeOptions options;
+    options.memory_mb = c.memory_mb;
+    Fleet fleet(1, options);
+    RecordingOrigin origin(fleet.origin);
+    const auto holder = c.long_writes > 0 ? std::make_unique<LongWriteHolder>(fleet.port()) : nullptr;
+    fleet.caches.front().set_script([](const std::string& m) {
+        return ScriptedResponse{"VA 60000 O" + id_in(m) + " h1\r\n" + std::string(60'000, 'x') + "\r\n"};
+    });
+    constexpr CrowdPace kNoReading{.written = std::size_t{1} << 20, .receive_buffer = 4096};
+    Crowd others(fleet.port(), c.clients_that_do_not_read, kNoReading, reads_of_values);
+    others.run(std::chrono::milliseconds(300));
+    {
+        constexpr CrowdPace kFast{.written = std::size_t{8} << 20, .read = std::size_t{1} << 20};
+        Crowd client(fleet.port(), 1, kFast, [&c](int) {
+            return writes_of("s", c.short_writes, c.short_bytes) + writes_of("l", c.long_writes, 1'000'000);
+        });
+        client.run(std::chrono::milliseconds(200));
+    }
+    const double closed_at = now_seconds();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    const std::vector<double> begun_at = origin.begun_at();
+    EXPECT_GE(begun_at.size(), 4U);
+    for (const double time : begun_at) EXPECT_LE(time, closed_at + kLatestAttemptAfterClose);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, CloseBehindUnreadInput,
+                         testing::Values(HiddenClose{"some_megabytes", 192, 96, 60'000, 0, 0},
+                                         HiddenClose{"more_than_is_kept", 192, 400, 60'000, 0, 0},
+                                         HiddenClose{"thousands_of_commands", 192, 30'000, 300, 0, 0},
+                                         HiddenClose{"little_memory", 32, 96, 60'000, 0, 0},
+                                         HiddenClose{"a_long_write_without_memory", 32, 24, 1'000, 8, 0},
+                                         HiddenClose{"buffers_that_are_half_full", 32, 96, 30'000, 0, 6}),
+                         [](const auto& c) { return c.param.name; });
+
 // ---- discovery that is silent, late or sends older lists -------------------------------------------------
 
 // A scripted discovery server that answers watches with the current list, leaves calls unanswered, resets
--- a/tests/upstream_pool_test.cpp
+++ b/tests/upstream_pool_test.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 
 #include "fleet.h"
+#include "testkit/crowd.h"
 
 namespace {
 
@@ -109,7 +110,7 @@
 // Guards against a deadline that begins anew for pipelined commands: the bytes that the client's kernel held
 // while the node did not read counted as sent when they were received.
 TEST(SentDeadline, ExcludesTimeSpentInTheKernelOfTheClient) {
-    constexpr int kCommands = 1000, kFirstChecked = 100;
+    constexpr int kCommands = 4000, kFirstChecked = 100;  // more than is received behind open commands
     constexpr double kClientTimeout = 4, kHeldSeconds = 0.7;
     const std::string padding(1500, 'x');
     Fleet fleet(1);
@@ -171,4 +172,35 @@
     EXPECT_EQ(complete_requests, 0);
 }
 
+// Guards against a long write that goes on to the origin although its client has gone: the close was hidden
+// behind further long writes, which waited for memory.
+TEST(ClientDisconnect, BehindFurtherWritesCancelsTheRequest) {
+    constexpr std::size_t kLength = 3'000'000;
+    NodeOptions options;
+    options.memory_mb = 32;
+    Fleet fleet(1, options);
+    std::atomic<int> complete_requests{0};
+    fleet.origin.set_script([&](const std::string& message) {
+        complete_requests += message.size() >= kLength ? 1 : 0;
+        return ScriptedResponse{http("made")};
+    });
+    fleet.origin.set_receive_buffer(16 * 1024);
+    fleet.origin.delay_bodies([] { return 1.0; });
+    {
+        constexpr CrowdPace kFast{.written = std::size_t{8} << 20, .read = std::size_t{1} << 20};
+        Crowd client(fleet.port(), 1, kFast, [](int) {
+            std::string text;
+            for (int n = 0; n < 5; ++n) {
+                const std::string id = "w" + std::to_string(n);
+                text += "ms k " + std::to_string(kLength) + " O" + id + " Pc=put,d=60000,k=" + id + "\r\n" +
+                        std::string(kLength, 'v') + "\r\n";
+            }
+            return text;
+        });
+        client.run(400 * kMillisecond);  // the origin has received a part of the first request
+    }
+    std::this_thread::sleep_for(1500 * kMillisecond);
+    EXPECT_EQ(complete_requests, 0);
+}
+
 }  // namespace
