--- a/tests/planted_soak.sh
+++ b/tests/planted_soak.sh
@@ -27,7 +27,7 @@
 'a truncated value never looks complete~downstream/client_connections.cpp~if (!complete && response.is_partly_written) {~if (!complete && response.is_partly_written && budget_.limit == 0) {'
 'accepting continues after a failed accept call~downstream/client_connections.cpp~constexpr double kAcceptRetrySeconds = 0.05;~constexpr double kAcceptRetrySeconds = 500;'
 'a request that waits for the origin is answered in time~balancer/balancer.cpp~host_.set_timer(std::max(request.useful_until - now - 2 * deployment_.tick_interval, 0.0),~host_.set_timer(std::max(request.useful_until - now + 1.0, 0.0),~proxy/node.cpp~timers_.schedule(active.deadline + config_.deployment.response_grace, [this, request] {~timers_.schedule(active.deadline + 1.0, [this, request] {'
-'a shutdown answers the requests that it has accepted~proxy/graceful_shutdown.cpp~if (clients_are_gone && !has_open_requests) return Step::finish;~if (now >= closes_at_ || (clients_are_gone && !has_open_requests)) return Step::finish;'
+'a shutdown answers the requests that it has accepted~proxy/graceful_shutdown.cpp~if (work.has_open_requests) return is_kill_near(now) ? Step::fail_open_requests : Step::wait;~if (work.has_open_requests) return now >= closes_at_ ? Step::finish : Step::wait;'
 'settings and names of a reload take effect together~proxy/node.cpp~    handle_events();
     run_all_actions();
     std::vector<ServerTable::Placement> placements;~    std::vector<ServerTable::Placement> placements;'
