--- a/src/downstream/hidden_close.cpp
+++ b/src/downstream/hidden_close.cpp
@@ -1,6 +1,6 @@
-// The part of ClientConnections that keeps the close of a client visible. A close follows all that the client has
-// sent before it. While requests may still be sent to servers for the client, its input is therefore received,
-// and the commands for which there is no space are refused.
+// The part of ClientConnections that keeps the close of a client visible. A close follows all that the client
+// has sent before it. While requests may still be sent to servers for the client, its input is therefore
+// received, and the commands for which there is no space are refused.
 #include <algorithm>
 #include <utility>
 
@@ -32,8 +32,8 @@
     });
 }
 
-// Refuses commands at the start of the input while more input waits than there is space for. The commands that
-// were read earlier are served.
+// Refuses commands at the start of the input while more input waits than there is space for. The commands
+// that were read earlier are served.
 void ClientConnections::refuse_commands_without_space(std::uint64_t id, Client& client) {
     const bool is_paused = client.pause_reason != PauseReason::none &&
                            client.pause_reason != PauseReason::turn_used &&
@@ -104,8 +104,8 @@
     return client.pending.size() + client.waiting_refusals;
 }
 
-// Reports the requests for which nothing more may arrive at a server. Also keeps the time since which a close is
-// hidden up to date while reading is paused.
+// Reports the requests for which nothing more may arrive at a server. Also keeps the time since which a close
+// is hidden up to date while reading is paused.
 void ClientConnections::report_hidden_close(std::uint64_t id, const Client& client, double now) {
     if (close_hidden_for(client, now) <= kMaxCloseHidden) return;
     for (std::size_t i = 0; i < client.pending.size(); ++i) {
--- a/src/io/close_visibility.h
+++ b/src/io/close_visibility.h
@@ -1,6 +1,6 @@
-/// Tracks since when the close of a peer could be hidden from this host. A close follows all that the peer has
-/// sent before it, and if this host's buffer for the connection is full, the peer's kernel keeps the rest and the
-/// close. No I/O and no clock: times are arguments, in seconds on the monotonic clock.
+/// Tracks since when the close of a peer could be hidden from this host. A close follows all that the peer
+/// has sent before it, and if this host's buffer for the connection is full, the peer's kernel keeps the rest
+/// and the close. No I/O and no clock: times are arguments, in seconds on the monotonic clock.
 #pragma once
 
 namespace brookrelay {
@@ -26,8 +26,8 @@
     }
     /// Whether a close is visible whatever the kernel holds, so that hidden_since() need not be asked.
     bool is_visible() const { return hidden_since_ == 0; }
-    /// Returns the time since which a close could be hidden, or 0 if it would be seen. `has_unreceived_input`:
-    /// the kernel of this host holds input.
+    /// Returns the time since which a close could be hidden, or 0 if it would be seen.
+    /// `has_unreceived_input`: the kernel of this host holds input.
     double hidden_since(double now, bool has_unreceived_input) {
         // The peer's kernel sends what it holds only once there is space here.
         const bool may_peer_hold_input = now - resumed_at_ < kPeerSendSeconds;
