--- a/tests/client_connections_test.cpp
+++ b/tests/client_connections_test.cpp
@@ -16,19 +16,6 @@
 
 constexpr auto kMillisecond = std::chrono::milliseconds(1);
 
-double now_seconds() {
-    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
-std::string write_header(const std::string& id, std::size_t bytes, int ms) {
-    return "ms " + id + " " + std::to_string(bytes) + " O" + id + " Pc=put,d=" + std::to_string(ms) +
-           ",k=" + id + "\r\n";
-}
-
-std::string whole_write(const std::string& id, std::size_t bytes, int ms) {
-    return write_header(id, bytes, ms) + std::string(bytes, 'v') + "\r\n";
-}
-
 // ---- paused reading --------------------------------------------------------------------------------------
 
 // When the total of unanswered commands is at its limit, further pipelined commands remain unread. They must
@@ -79,7 +66,7 @@
     TestSocket client(own_loopback(), fleet.port());
     std::thread sender([&client] {
         std::string text;
-        for (int n = 0; n < kWrites; ++n) text += whole_write("w" + std::to_string(n), 60'000, 20'000);
+        for (int n = 0; n < kWrites; ++n) text += write_of("w" + std::to_string(n), 60'000, 20'000);
         client.send(text);
     });
     int served = 0, refused = 0;
@@ -235,7 +222,7 @@
     TestSocket line(own_loopback(), fleet.port());
     line.send(read_of("k", "r1", kMs));
     EXPECT_TRUE(line.until("\r\n").starts_with("VA "));
-    const std::string write = whole_write("w1", kLongWriteBytes, kMs);
+    const std::string write = write_of("w1", kLongWriteBytes, kMs);
     line.send(write.substr(0, write.size() / 2));
     EXPECT_EQ(line.bytes(kPieces * kPieceBytes + 2).size(), kPieces * kPieceBytes + 2);
     std::this_thread::sleep_for(100 * kMillisecond);
@@ -265,7 +252,7 @@
     const double sent_at = now_seconds();
     for (int n = 0; n < 4; ++n) {
         writers.emplace_back(own_loopback(), fleet.port());
-        writers.back().send(whole_write("w" + std::to_string(n), kLongWriteBytes, kMs));
+        writers.back().send(write_of("w" + std::to_string(n), kLongWriteBytes, kMs));
     }
     for (TestSocket& writer : writers) EXPECT_TRUE(writer.until("\r\n").starts_with("HD Ow"));
     EXPECT_LT(now_seconds() - sent_at, kMs / 1e3);
@@ -294,7 +281,7 @@
     std::this_thread::sleep_for(200 * kMillisecond);
     TestSocket writer(own_loopback(), fleet.port());
     const double sent_at = now_seconds();
-    writer.send(whole_write("w1", kLongWriteBytes, kMs) + read_of("7f3a", "r1"));
+    writer.send(write_of("w1", kLongWriteBytes, kMs) + read_of("7f3a", "r1"));
     EXPECT_EQ(writer.until("\r\n"), "SERVER_ERROR busy\r\n");
     EXPECT_LT(now_seconds() - sent_at, kMs / 1e3);
     EXPECT_EQ(writer.until("hello\r\n"), "VA 5 Or1\r\nhello\r\n");
@@ -321,7 +308,7 @@
     std::this_thread::sleep_for(100 * kMillisecond);
     TestSocket writer(own_loopback(), fleet.port());
     // Two megabytes do not fit into the node's receive buffer.
-    writer.send(whole_write("w1", 2'000'000, 2000));
+    writer.send(write_of("w1", 2'000'000, 2000));
     const double sent_at = now_seconds();
     std::size_t holder_bytes = kFirstBytes;
     while (now_seconds() - sent_at < std::chrono::duration<double>(kHeld).count()) {
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -16,10 +16,6 @@
 constexpr int kMostDescriptors = 1024;
 constexpr int kClients = 500;
 
-double now_seconds() {
-    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 NodeOptions with_memory(int memory_mb) {
     NodeOptions options;
     options.memory_mb = memory_mb;
@@ -27,11 +23,6 @@
     return options;
 }
 
-std::string write_of(const std::string& id, std::size_t bytes, int ms) {
-    return "ms " + id + " " + std::to_string(bytes) + " O" + id + " Pc=put,d=" + std::to_string(ms) +
-           ",k=" + id + "\r\n" + std::string(bytes, 'v') + "\r\n";
-}
-
 // A read whose properties are as many short fields as a line holds.
 std::string read_with_many_fields(const std::string& id) {
     std::string line = "mg " + id + " v O" + id + " Pc=read,d=2000";
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -42,6 +42,11 @@
     ADD_FAILURE_AT(from.file_name(), static_cast<int>(from.line())) << "timed out waiting for a condition";
 }
 
+// Seconds on the monotonic clock.
+inline double now_seconds() {
+    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
 inline std::string id_in(const std::string& command) {
     const std::size_t at = command.find(" O") + 2;
     return command.substr(at, command.find_first_of(" \r", at) - at);
@@ -58,6 +63,14 @@
     return "mg " + key + " v O" + id + " Pc=read,t=acme,d=" + std::to_string(ms) + "\r\n";
 }
 
+inline std::string write_header(const std::string& id, std::size_t bytes, int ms) {
+    return "ms " + id + " " + std::to_string(bytes) + " O" + id + " Pc=put,d=" + std::to_string(ms) +
+           ",k=" + id + "\r\n";
+}
+inline std::string write_of(const std::string& id, std::size_t bytes, int ms) {
+    return write_header(id, bytes, ms) + std::string(bytes, 'v') + "\r\n";
+}
+
 inline std::string next_name() {
     static int count = 0;
     return "brookrelay_node_" + std::to_string(getpid()) + "_" + std::to_string(++count);
--- a/tests/full_connections_test.cpp
+++ b/tests/full_connections_test.cpp
@@ -26,10 +26,6 @@
 // The grace that the configuration allows an answer, and the jitter of real sockets.
 constexpr double kAnswerToleranceSeconds = 0.02 + 0.05;
 
-double now_seconds() {
-    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 // What a client sends once it is connected, and never continues.
 struct Holder {
     const char* name;
--- a/tests/races_test.cpp
+++ b/tests/races_test.cpp
@@ -13,10 +13,6 @@
 
 using namespace brookrelay::testkit;
 
-double now_seconds() {
-    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 std::string read_value(TestSocket& line, const std::string& head, std::size_t length) {
     const std::string first = line.until("\r\n");
     return first == head ? line.bytes(length + 2) : first;
@@ -239,14 +235,9 @@
 // An attempt that begins so much later than its client's close is a break: 0.1 s, and 0.05 s of slack.
 constexpr double kLatestAttemptAfterClose = 0.15;
 
-std::string write_of(const std::string& id, std::size_t bytes) {
-    return "ms " + id + " " + std::to_string(bytes) + " O" + id + " Pc=put,d=60000,k=" + id + "\r\n" +
-           std::string(bytes, 'v') + "\r\n";
-}
-
 std::string writes_of(const std::string& prefix, int count, std::size_t bytes) {
     std::string text;
-    for (int n = 0; n < count; ++n) text += write_of(prefix + std::to_string(n), bytes);
+    for (int n = 0; n < count; ++n) text += write_of(prefix + std::to_string(n), bytes, 60000);
     return text;
 }
 
--- a/tests/slow_servers_test.cpp
+++ b/tests/slow_servers_test.cpp
@@ -12,10 +12,6 @@
 
 constexpr double kAnswerGraceSeconds = 0.55;  // a final answer may come so long after its time
 
-double now_seconds() {
-    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 struct SlowReader {
     const char* name;
     const char* write_idempotency;
--- a/tests/upstream_pool_test.cpp
+++ b/tests/upstream_pool_test.cpp
@@ -15,10 +15,6 @@
 // A deadline sent to a server may exceed the client's remaining time by this much.
 constexpr double kDeadlineSlackSeconds = 0.15;
 
-double now_seconds() {
-    return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 // Returns the deadline that a message states, in seconds from when it is sent, or 1e9 if it states none.
 double sent_deadline(const std::string& message) {
     const std::size_t at = message.find(",d=");
@@ -190,11 +186,7 @@
         constexpr CrowdPace kFast{.written = std::size_t{8} << 20, .read = std::size_t{1} << 20};
         Crowd client(fleet.port(), 1, kFast, [](int) {
             std::string text;
-            for (int n = 0; n < 5; ++n) {
-                const std::string id = "w" + std::to_string(n);
-                text += "ms k " + std::to_string(kLength) + " O" + id + " Pc=put,d=60000,k=" + id + "\r\n" +
-                        std::string(kLength, 'v') + "\r\n";
-            }
+            for (int n = 0; n < 5; ++n) text += write_of("w" + std::to_string(n), kLength, 60000);
             return text;
         });
         client.run(400 * kMillisecond);  // the origin has received a part of the first request
