A request that waits for the close to be seen is refused even without memory

refuse_next_command() refused nothing while the byte budget was exceeded. With no earlier command open its refusal is written at once and keeps no memory, so such a request waited for the memory of other clients, without a bound by its own time. Found by reading; no run forced it. CloseBehindUnreadInput.* and client_connections_test pass.

--- a/src/downstream/hidden_close.cpp
+++ b/src/downstream/hidden_close.cpp
@@ -48,7 +48,9 @@
 
 // Refuses the request at the start of the input. Returns false if there is none, or too many are refused.
 bool ClientConnections::refuse_next_command(std::uint64_t id, Client& client) {
-    if (client.waiting_refusals >= kMaxWaitingRefusals || budget_.exceeded()) return false;
+    const bool must_keep_refusal = !client.pending.empty();  // until the responses before it are written
+    if (must_keep_refusal && (client.waiting_refusals >= kMaxWaitingRefusals || budget_.exceeded()))
+        return false;
     const std::string_view input = client.connection->input();
     Command command;
     ValuePosition value;
